--- /dev/null
+++ b/cmd/boragepost/demo.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"boragepost/io/demo"
+	"boragepost/io/logs"
+)
+
+var errHarm = errors.New("the demo counted harm")
+
+func addDemo(app *kingpin.Application, commands map[string]func(context.Context) error) {
+	c := app.Command("demo", "Run a whole small deployment in this process and count harm.")
+	seed := c.Flag("seed", "Seed of all random choices.").Default("1").Uint64()
+	asJSON := c.Flag("json", "Print the summary as JSON.").Bool()
+	flows := c.Flag("flows", "Flows held open.").Default("600").Int()
+	level := c.Flag("log", "Log level.").Default("error").String()
+	commands["demo"] = func(ctx context.Context) error {
+		log, err := logs.New(os.Stderr, *level)
+		if err != nil {
+			return err
+		}
+		report, err := demo.Run(ctx, demo.Options{Seed: *seed, Flows: *flows, Progress: os.Stderr, Log: log})
+		if err != nil {
+			return err
+		}
+		return printReport(report, *asJSON)
+	}
+}
+
+func printReport(r demo.Report, asJSON bool) error {
+	if asJSON {
+		data, err := json.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("encode report: %w", err)
+		}
+		fmt.Println(string(data))
+	} else {
+		fmt.Println(r.Line())
+	}
+	if n := r.Harm(); n > 0 {
+		return fmt.Errorf("%w: %d events", errHarm, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/boragepost/main.go
@@ -0,0 +1,46 @@
+// Command boragepost runs and operates the load balancer.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// version is set at build time by -ldflags "-X main.version=...".
+var version = "dev"
+
+// Exit codes.
+const (
+	exitFailure = 1 // the command failed
+	exitUsage   = 2 // the command line is wrong
+	exitRefused = 3 // the deployment refused the change
+	exitHarm    = 4 // the demo counted harm
+)
+
+func main() {
+	app := kingpin.New("boragepost", "A layer-4 load balancer for long connections and small, precious requests.")
+	app.HelpFlag.Short('h')
+	commands := map[string]func(context.Context) error{}
+	addRoles(app, commands)
+	addResources(app, commands)
+	addDemo(app, commands)
+	app.Command("version", "Print the version.")
+	commands["version"] = func(context.Context) error {
+		fmt.Println("boragepost", version)
+		return nil
+	}
+	app.Terminate(func(code int) {
+		if code != 0 {
+			code = exitUsage
+		}
+		os.Exit(code)
+	})
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := commands[name](context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "boragepost:", err)
+		os.Exit(exitCode(err))
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,86 @@
+// Command standin runs one stand-in for what surrounds boragepost: a fabric, a
+// backend server, or a caller. It is used by tests only.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.yaml.in/yaml/v3"
+
+	"boragepost/io/stand"
+)
+
+func main() {
+	app := kingpin.New("standin", "A stand-in for what surrounds boragepost.")
+	kind := app.Arg("kind", "Kind of stand-in.").Required().Enum("fabric", "server", "flows", "orders")
+	config := app.Flag("config", "Configuration file.").Required().String()
+	report := app.Flag("report", "Endpoint that serves a caller's report.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, *kind, *config, *report); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// run runs a stand-in until ctx ends. A caller serves its report over HTTP.
+func run(ctx context.Context, kind, config, report string) error {
+	switch kind {
+	case "fabric":
+		return start(ctx, config, stand.StartFabric)
+	case "server":
+		return start(ctx, config, stand.StartServer)
+	case "flows":
+		return start(ctx, config, func(ctx context.Context, c stand.FlowsConfig) (any, error) {
+			f, err := stand.StartFlows(ctx, c)
+			if err == nil {
+				serveReport(report, func() any { return f.Report() })
+			}
+			return f, err
+		})
+	default:
+		return start(ctx, config, func(ctx context.Context, c stand.OrdersConfig) (any, error) {
+			o := stand.StartOrders(ctx, c)
+			serveReport(report, func() any { return o.Report() })
+			return o, nil
+		})
+	}
+}
+
+// start reads a configuration, starts a stand-in with it, and waits for the end
+// of ctx.
+func start[C, T any](ctx context.Context, path string, begin func(context.Context, C) (T, error)) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	var c C
+	decoder := yaml.NewDecoder(strings.NewReader(string(data)))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&c); err != nil {
+		return fmt.Errorf("read configuration %s: %w", path, err)
+	}
+	if _, err := begin(ctx, c); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func serveReport(addr string, report func() any) {
+	if addr == "" {
+		return
+	}
+	go http.ListenAndServe(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(report())
+	}))
+}
--- /dev/null
+++ b/core/flow/balancer.go
@@ -0,0 +1,294 @@
+// Package flow decides, packet by packet, which backend server a flow goes to.
+//
+// Any packet of a flow may reach any entry instance. Instances agree without
+// talking because they hold the same bucket table (package table) at the same
+// version. While a bucket moves, an instance asks the bucket's record keeper
+// about flows that it does not know; afterwards the flows that stayed with
+// their former backend server are known everywhere as exceptions.
+//
+// The package does no I/O and has no clock. A bench drives it like this:
+//
+//	b := flow.NewBalancer(flow.Limits{})
+//	reports := b.Apply(flow.NewView(state))  // 1. after each command applied
+//	b.Renew(until)                           // 2. when a lease is granted
+//	v := b.Decide(now, header)               // 3. for each packet
+//	b.Learn(now, answer)                     // 4. for each answer of a keeper
+//
+// Reports and verdicts with Action Query are questions for the record keeper,
+// a shard.Store whose Decide field is Keeper.Decide. Times are nanoseconds of
+// one monotonic clock. Decide and Learn may be called concurrently.
+package flow
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"boragepost/core/model"
+	"boragepost/core/table"
+)
+
+// Action is what to do with a packet.
+type Action uint8
+
+// The actions of a verdict.
+const (
+	// Drop discards the packet for the verdict's Reason.
+	Drop Action = iota
+	// Forward sends the packet to the verdict's Target.
+	Forward
+	// Query holds the packet until the record keeper has answered.
+	Query
+)
+
+// Reason says why a packet is dropped. Its text is a metric label.
+type Reason string
+
+// The reasons for which packets are dropped.
+const (
+	NoService  Reason = "noService"  // no service has the destination address
+	NoServer   Reason = "noServer"   // the service has no backend server
+	NoLease    Reason = "noLease"    // the instance may hold outdated state
+	Unverified Reason = "unverified" // the backend server's identity is in doubt
+)
+
+// Verdict is the decision on one packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	Server model.ServerID
+	Target netip.AddrPort
+	Key    Key
+	// Question is set for Query, and for Forward when the keeper should learn
+	// of the flow.
+	Question Record
+	Report   bool
+}
+
+// Limits bound the memory of a balancer. Zero values take defaults.
+type Limits struct {
+	MaxFlows    int // established flows
+	MaxHalfOpen int // flows of which only starting packets were seen
+}
+
+const (
+	defaultMaxFlows    = 1 << 20
+	defaultMaxHalfOpen = 1 << 16
+
+	// staleForward is how long after its lease an instance still forwards to
+	// addresses that it has not verified. It is shorter than state.Quarantine.
+	staleForward = 10 * time.Second
+	// finishLinger is how long a finished flow is remembered.
+	finishLinger = 5 * time.Second
+	// halfOpenTimeout is the silence that ends a flow which was never
+	// established.
+	halfOpenTimeout = 30 * time.Second
+)
+
+// Balancer is the flow state of one instance.
+type Balancer struct {
+	view     atomic.Pointer[View]
+	flows    *tracker
+	lease    atomic.Int64
+	island   atomic.Bool
+	verified atomic.Pointer[map[model.ServerID]int64]
+}
+
+// NewBalancer returns a balancer without services and without a lease.
+func NewBalancer(l Limits) *Balancer {
+	if l.MaxFlows == 0 {
+		l.MaxFlows = defaultMaxFlows
+	}
+	if l.MaxHalfOpen == 0 {
+		l.MaxHalfOpen = defaultMaxHalfOpen
+	}
+	b := &Balancer{flows: newTracker(l.MaxFlows, l.MaxHalfOpen)}
+	b.view.Store(&View{})
+	return b
+}
+
+// View returns the view in use.
+func (b *Balancer) View() *View { return b.view.Load() }
+
+// Renew extends the lease to the given time.
+func (b *Balancer) Renew(until int64) {
+	if until > b.lease.Load() {
+		b.lease.Store(until)
+	}
+	b.island.Store(false)
+}
+
+// HasLease reports whether the lease is valid.
+func (b *Balancer) HasLease(now int64) bool { return now < b.lease.Load() }
+
+// SetIsland tells the balancer that no instance with a lease can be reached, so
+// that it must serve its callers with what it knows.
+func (b *Balancer) SetIsland(on bool) { b.island.Store(on) }
+
+// SetVerified tells the balancer when each backend server last proved its
+// identity to this instance. The map must not change afterwards.
+func (b *Balancer) SetVerified(at map[model.ServerID]int64) { b.verified.Store(&at) }
+
+// Flows returns the numbers of established and half-open flows.
+func (b *Balancer) Flows() (live, half int) { return b.flows.len() }
+
+// Decide returns the verdict on one packet.
+func (b *Balancer) Decide(now int64, h Header) Verdict {
+	key := h.Key()
+	s := b.flows.stripe(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The view is read under the lock: after Apply has visited a stripe, no
+	// decision there can still use the old view.
+	route := b.view.Load().Routes[h.Dest]
+	if route == nil {
+		return Verdict{Reason: NoService}
+	}
+	if r, ok := s.get(key); ok && b.usable(now, route, r, h) {
+		return b.known(now, route, s, key, r, h)
+	}
+	return b.unknown(now, route, s, key, h)
+}
+
+// usable reports whether a record still speaks for the flow of the packet.
+func (b *Balancer) usable(now int64, route *Route, r tracked, h Header) bool {
+	if !route.lives(r.server) {
+		return false
+	}
+	if !h.Start || r.flags&flagPinned != 0 {
+		return true
+	}
+	idle := now/int64(time.Second)-int64(r.seen) > route.Idle/int64(time.Second)
+	return r.flags&flagFinished == 0 && !idle
+}
+
+// known forwards a packet of a flow that the instance remembers.
+func (b *Balancer) known(now int64, route *Route, s *stripe, key Key, r tracked, h Header) Verdict {
+	r.seen = uint32(now / int64(time.Second))
+	if h.Finish {
+		r.flags |= flagFinished
+	}
+	if !h.Start {
+		r.flags &^= flagHalfOpen
+	}
+	v := b.forward(now, route, key, r.server)
+	bucket := route.Table.Bucket(uint64(key))
+	moving := bucket.Stage != table.Closed && bucket.Owner != r.server
+	if moving && r.flags&(flagReported|flagHalfOpen) == 0 && v.Action == Forward {
+		r.flags |= flagReported
+		v.Report = true
+		v.Question = Record{Route: route.ID, Server: r.server, UDP: h.Protocol == UDP}
+	}
+	b.flows.put(s, key, r)
+	return v
+}
+
+// unknown decides on a packet of a flow that the instance does not remember.
+func (b *Balancer) unknown(now int64, route *Route, s *stripe, key Key, h Header) Verdict {
+	if len(route.Table.Buckets) == 0 {
+		return Verdict{Reason: NoServer, Key: key}
+	}
+	leased := b.HasLease(now)
+	if !leased && !b.island.Load() {
+		return Verdict{Reason: NoLease, Key: key}
+	}
+	bucket := route.Table.Bucket(uint64(key))
+	alone := bucket.Stage == table.Closed && bucket.Since <= route.fetched.Load()
+	if leased && !alone {
+		return Verdict{Action: Query, Key: key, Question: Record{
+			Route: route.ID, Start: h.Start, UDP: h.Protocol == UDP}}
+	}
+	server := bucket.Choose(h.Start || h.Protocol == UDP)
+	if !route.lives(server) {
+		return Verdict{Reason: NoServer, Key: key}
+	}
+	r := tracked{server: server, seen: uint32(now / int64(time.Second)), route: uint16(route.ID)}
+	r.flags = startFlags(h)
+	b.flows.put(s, key, r)
+	return b.forward(now, route, key, server)
+}
+
+func startFlags(h Header) flags {
+	var f flags
+	if h.Start || h.Protocol == UDP {
+		f |= flagHalfOpen
+	}
+	if h.Protocol == UDP {
+		f |= flagUDP
+	}
+	if h.Finish {
+		f |= flagFinished
+	}
+	return f
+}
+
+// forward returns the verdict for a chosen backend server, after the check that
+// its address cannot have passed to another service unnoticed.
+func (b *Balancer) forward(now int64, route *Route, key Key, server model.ServerID) Verdict {
+	lease := b.lease.Load()
+	if now-lease > int64(staleForward) && !b.isVerified(now, server) {
+		return Verdict{Reason: Unverified, Key: key}
+	}
+	return Verdict{Action: Forward, Key: key, Server: server, Target: route.Targets[server].Packets}
+}
+
+func (b *Balancer) isVerified(now int64, server model.ServerID) bool {
+	at := b.verified.Load()
+	return at != nil && now-(*at)[server] <= int64(staleForward)
+}
+
+// Learn records the keeper's answer to a question and returns the verdict for
+// the packets that were held for it.
+func (b *Balancer) Learn(now int64, h Header, answer Record) Verdict {
+	key := h.Key()
+	s := b.flows.stripe(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	route := b.view.Load().Routes[h.Dest]
+	if route == nil {
+		return Verdict{Reason: NoService, Key: key}
+	}
+	if !route.lives(answer.Server) {
+		return Verdict{Reason: NoServer, Key: key}
+	}
+	r := tracked{server: answer.Server, seen: uint32(now / int64(time.Second)), route: uint16(route.ID)}
+	r.flags = startFlags(h) | flagReported
+	if old, ok := s.get(key); ok && old.server == r.server {
+		r.flags = old.flags | flagReported
+	}
+	b.flows.put(s, key, r)
+	return b.forward(now, route, key, answer.Server)
+}
+
+// Expire forgets the flows that have ended or have been idle for longer than
+// their service allows. It is called every few seconds.
+func (b *Balancer) Expire(now int64) {
+	v := b.view.Load()
+	idle := map[uint16]int64{}
+	gone := map[uint16]*Route{}
+	for _, r := range v.Routes {
+		idle[uint16(r.ID)] = max(idle[uint16(r.ID)], r.Idle)
+		gone[uint16(r.ID)] = r
+	}
+	sec := now / int64(time.Second)
+	b.flows.expire(func(_ Key, r tracked) bool {
+		age := (sec - int64(r.seen)) * int64(time.Second)
+		route := gone[r.route]
+		switch {
+		case route == nil || !route.lives(r.server):
+			return true
+		case r.flags&flagPinned != 0:
+			return false
+		case r.flags&flagFinished != 0:
+			return age > int64(finishLinger)
+		case r.flags&flagHalfOpen != 0:
+			return age > int64(min(halfOpenTimeout, time.Duration(idle[r.route])))
+		default:
+			return age > idle[r.route]
+		}
+	})
+}
+
+// Serving reports whether the balancer decides on new flows: it has a lease, or
+// must do without one.
+func (b *Balancer) Serving(now int64) bool { return b.HasLease(now) || b.island.Load() }
--- /dev/null
+++ b/core/flow/change.go
@@ -0,0 +1,149 @@
+package flow
+
+import (
+	"boragepost/core/model"
+	"boragepost/core/shard"
+	"boragepost/core/table"
+)
+
+// Report is a flow that the record keeper must know before the instance may
+// confirm a version.
+type Report struct {
+	Key      Key
+	Question Record
+}
+
+// Apply installs a view. It returns the flows of buckets that have just begun
+// to move and whose beginning another instance might mistake for a new flow:
+// those of which only the first packet was seen, and all UDP flows. The
+// instance confirms the version once the keeper has answered them.
+func (b *Balancer) Apply(v *View) []Report {
+	old := b.view.Load()
+	for _, r := range v.Routes {
+		if was := old.byService[r.Service]; was != nil {
+			r.fetched.Store(was.fetched.Load())
+		}
+	}
+	b.view.Store(v)
+	moving := v.startedSince(old.Version)
+	if len(moving) == 0 {
+		return nil
+	}
+	var reports []Report
+	b.flows.each(func(k Key, r tracked) {
+		route := moving[r.route]
+		if route == nil || r.flags&(flagHalfOpen|flagUDP) == 0 || r.flags&flagReported != 0 {
+			return
+		}
+		bucket := route.Table.Bucket(uint64(k))
+		if bucket.Stage == table.Preparing && bucket.Since > old.Version && route.lives(r.server) {
+			reports = append(reports, Report{Key: k, Question: Record{
+				Route: route.ID, Server: r.server, UDP: r.flags&flagUDP != 0}})
+		}
+	})
+	return reports
+}
+
+// startedSince returns the routes with buckets that began to move after a
+// version, by the low bits of their identifiers.
+func (v *View) startedSince(version uint64) map[uint16]*Route {
+	out := map[uint16]*Route{}
+	for _, r := range v.Routes {
+		if since, ok := r.Table.Latest(table.Preparing); ok && since > version {
+			out[uint16(r.ID)] = r
+		}
+	}
+	return out
+}
+
+// Fetch names exceptions that the instance lacks: those of a service's buckets
+// in some shards, as of a version.
+type Fetch struct {
+	Service string
+	Version uint64
+	Shards  []int
+}
+
+// Missing returns the fetches that let the instance decide alone again.
+// shardOf maps a bucket number to its shard.
+func (b *Balancer) Missing(shardOf func(bucket int) int) []Fetch {
+	v := b.view.Load()
+	var out []Fetch
+	for _, r := range v.Routes {
+		if f, ok := r.missing(v.Version, shardOf); ok {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func (r *Route) missing(version uint64, shardOf func(int) int) (Fetch, bool) {
+	f := Fetch{Service: r.Service, Version: version}
+	seen := map[int]bool{}
+	fetched := r.fetched.Load()
+	for i, b := range r.Table.Buckets {
+		settled := b.Stage == table.Closing || b.Stage == table.Closed
+		if !settled || b.Since <= fetched || seen[shardOf(i)] {
+			continue
+		}
+		seen[shardOf(i)] = true
+		f.Shards = append(f.Shards, shardOf(i))
+	}
+	return f, len(f.Shards) > 0
+}
+
+// Pin records exceptions that a keeper supplied.
+func (b *Balancer) Pin(now int64, service string, records map[Key]model.ServerID) {
+	route := b.view.Load().byService[service]
+	if route == nil {
+		return
+	}
+	for k, server := range records {
+		s := b.flows.stripe(k)
+		s.mu.Lock()
+		r := tracked{server: server, seen: uint32(now / 1e9), route: uint16(route.ID), flags: flagPinned | flagReported}
+		b.flows.put(s, k, r)
+		s.mu.Unlock()
+	}
+}
+
+// Fetched marks the exceptions of a service as known through a version. The
+// fetch must have covered all shards that Missing named.
+func (b *Balancer) Fetched(service string, version uint64) {
+	if r := b.view.Load().byService[service]; r != nil && version > r.fetched.Load() {
+		r.fetched.Store(version)
+	}
+}
+
+// FetchedThrough returns the version through which the exceptions of all
+// services are known.
+func (b *Balancer) FetchedThrough(shardOf func(int) int) uint64 {
+	v := b.view.Load()
+	through := v.Version
+	for _, r := range v.Routes {
+		if _, ok := r.missing(v.Version, shardOf); ok {
+			through = min(through, r.fetched.Load())
+		}
+	}
+	return through
+}
+
+// Known returns the instance's own knowledge of flows in the given shards that
+// a record keeper may have recorded. It lets keepers rebuild their records
+// after the loss of all replicas of a shard.
+func (b *Balancer) Known(shards map[int]bool) []shard.Record[Key, Record] {
+	v := b.view.Load()
+	var out []shard.Record[Key, Record]
+	b.flows.each(func(k Key, r tracked) {
+		if r.flags&flagReported == 0 || !shards[ShardOf(k)] {
+			return
+		}
+		for _, route := range v.Routes {
+			if uint16(route.ID) == r.route && route.lives(r.server) {
+				out = append(out, shard.Record[Key, Record]{Key: k, Value: Record{
+					Route: route.ID, Server: r.server, UDP: r.flags&flagUDP != 0}})
+			}
+		}
+	})
+	return out
+}
--- /dev/null
+++ b/core/flow/view.go
@@ -0,0 +1,71 @@
+package flow
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"boragepost/core/model"
+	"boragepost/core/place"
+	"boragepost/core/state"
+	"boragepost/core/table"
+)
+
+// Target is where an instance sends the packets of a backend server.
+type Target struct {
+	Packets  netip.AddrPort
+	Draining bool
+}
+
+// Route is one service as of a version.
+type Route struct {
+	Service string
+	ID      uint32 // hash of the service name
+	Idle    int64  // nanoseconds
+	Table   table.Table
+	Targets map[model.ServerID]Target
+	// fetched is the version through which the exceptions are known here.
+	fetched atomic.Uint64
+}
+
+// lives reports whether the backend server still belongs to the route.
+func (r *Route) lives(id model.ServerID) bool {
+	_, ok := r.Targets[id]
+	return ok
+}
+
+// View is an immutable picture of the replicated state for packet decisions.
+type View struct {
+	Version uint64
+	Routes  map[netip.AddrPort]*Route
+	// byService finds a route by service name.
+	byService map[string]*Route
+	byID      map[uint32]*Route
+}
+
+// NewView returns the view of a state.
+func NewView(s *state.State) *View {
+	v := &View{
+		Version:   s.Index(),
+		Routes:    map[netip.AddrPort]*Route{},
+		byService: map[string]*Route{},
+		byID:      map[uint32]*Route{},
+	}
+	for _, svc := range s.Services() {
+		r := &Route{
+			Service: svc.Name, ID: uint32(place.Hash(svc.Name)), Idle: int64(svc.IdleTimeout), Table: s.Table(svc.Name),
+			Targets: map[model.ServerID]Target{},
+		}
+		v.Routes[svc.Address] = r
+		v.byService[svc.Name] = r
+		v.byID[r.ID] = r
+	}
+	for _, b := range s.Servers() {
+		if r := v.byService[b.Service]; r != nil {
+			r.Targets[b.ID] = Target{Packets: b.Packets, Draining: b.Phase == model.Draining}
+		}
+	}
+	return v
+}
+
+// Route returns the route of a service, or nil.
+func (v *View) Route(service string) *Route { return v.byService[service] }
--- /dev/null
+++ b/core/quorum/log.go
@@ -0,0 +1,89 @@
+package quorum
+
+// raftLog is the log after the latest snapshot. Entry i of entries has index
+// snapshot.Index+1+i.
+type raftLog struct {
+	snapshot Snapshot
+	entries  []Entry
+	commit   uint64
+	unsaved  uint64 // lowest index not yet handed out for saving; 0 for none
+}
+
+func newLog(saved Saved) raftLog {
+	l := raftLog{snapshot: saved.Snapshot, commit: saved.Snapshot.Index}
+	for _, e := range saved.Entries {
+		if e.Index > l.snapshot.Index {
+			l.entries = append(l.entries, e)
+		}
+	}
+	return l
+}
+
+func (l *raftLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
+
+// termAt returns the term of an index, or 0 when the log does not hold it.
+func (l *raftLog) termAt(index uint64) uint64 {
+	switch {
+	case index == l.snapshot.Index:
+		return l.snapshot.Term
+	case index < l.snapshot.Index || index > l.last():
+		return 0
+	default:
+		return l.entries[index-l.snapshot.Index-1].Term
+	}
+}
+
+// slice returns the entries from lo to hi, both included.
+func (l *raftLog) slice(lo, hi uint64) []Entry {
+	if lo > hi {
+		return nil
+	}
+	base := l.snapshot.Index + 1
+	return l.entries[lo-base : hi-base+1]
+}
+
+// append adds an entry and drops any entry at or after its index.
+func (l *raftLog) append(e Entry) {
+	l.entries = append(l.entries[:e.Index-l.snapshot.Index-1:e.Index-l.snapshot.Index-1], e)
+	if l.unsaved == 0 || e.Index < l.unsaved {
+		l.unsaved = e.Index
+	}
+}
+
+// merge adds the entries that the log lacks, and drops a conflicting suffix.
+func (l *raftLog) merge(entries []Entry) {
+	for _, e := range entries {
+		if e.Index <= l.snapshot.Index || l.termAt(e.Index) == e.Term {
+			continue
+		}
+		l.append(e)
+	}
+}
+
+func (l *raftLog) takeUnsaved() []Entry {
+	if l.unsaved == 0 {
+		return nil
+	}
+	from := max(l.unsaved, l.snapshot.Index+1)
+	l.unsaved = 0
+	return append([]Entry(nil), l.slice(from, l.last())...)
+}
+
+// compact replaces the log up to snap.Index.
+func (l *raftLog) compact(snap Snapshot) {
+	if snap.Index <= l.snapshot.Index {
+		return
+	}
+	l.entries = append([]Entry(nil), l.slice(snap.Index+1, l.last())...)
+	l.snapshot = snap
+}
+
+// install replaces the whole log when it does not hold the snapshot's entry.
+func (l *raftLog) install(snap Snapshot) {
+	if l.termAt(snap.Index) == snap.Term {
+		l.compact(snap)
+	} else {
+		l.entries, l.snapshot, l.unsaved = nil, snap, 0
+	}
+	l.commit = max(l.commit, snap.Index)
+}
--- /dev/null
+++ b/core/quorum/quorum.go
@@ -0,0 +1,370 @@
+// Package quorum agrees on one replicated log among a few control replicas.
+//
+// A Node is a deterministic state machine in the manner of Raft: terms, leader
+// election with a pre-vote, log matching, commitment by a quorum, snapshots for
+// replicas that fell behind, and a leader lease. It has no clock, no socket and
+// no disk. Callers feed it ticks, messages and proposals, and carry out what
+// Take returns.
+//
+// # Usage
+//
+//	n := quorum.New(quorum.Config{ID: "a", Peers: []string{"a", "b", "c"}}, quorum.Saved{})
+//	n.Tick()
+//	out := n.Take()
+//	// 1. make out.Hard, out.Snapshot and out.Append durable
+//	// 2. send out.Messages
+//	// 3. apply out.Committed
+//
+// The order matters: a message may promise what must already be durable.
+//
+// A replica without saved state may have lost its disk. It must not vote as if
+// it remembered, so it starts recovering: it neither votes nor counts for a
+// commit until it has heard from every peer and has caught up with the longest
+// log that any of them reported.
+package quorum
+
+import (
+	"slices"
+)
+
+// Entry is one record of the log.
+type Entry struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Data  []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Hard is the part of a node's state that must survive a restart besides the
+// log.
+type Hard struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Vote string `cbor:"2,keyasint,omitempty"`
+	// Admitted is set once the replica may vote.
+	Admitted bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Snapshot replaces the log up to Index.
+type Snapshot struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Data  []byte `cbor:"3,keyasint"`
+}
+
+// Saved is what a node reads back from disk when it starts.
+type Saved struct {
+	Hard     Hard
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// Config fixes a node's identity and timing. Zero tick counts take defaults.
+type Config struct {
+	ID    string
+	Peers []string // all replicas, the node itself included
+	// ElectionTicks is the least silence before an election; the actual
+	// timeout lies between one and two times this value.
+	ElectionTicks int
+	// HeartbeatTicks is the interval between a leader's heartbeats.
+	HeartbeatTicks int
+	// Rand returns a number in [0, n). Nil always returns 0.
+	Rand func(n int) int
+}
+
+const (
+	defaultElectionTicks  = 10
+	defaultHeartbeatTicks = 2
+	maxEntriesPerMessage  = 256
+)
+
+// Role is a node's part in the current term.
+type Role uint8
+
+// The roles of a node.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Node is one replica's state machine. It belongs to one goroutine.
+type Node struct {
+	cfg       Config
+	hard      Hard
+	savedHard Hard
+	log       raftLog
+	role      Role
+	leader    string
+	votes     map[string]bool
+	progress  map[string]*progress
+	now       uint64 // ticks since start
+	heardAt   uint64 // tick of the leader's latest message
+	timeout   uint64
+	recovery  recovery
+	messages  []Message
+	install   *Snapshot
+	committed uint64 // highest index handed out as committed
+}
+
+// progress is what a leader knows of one peer.
+type progress struct {
+	match, next uint64
+	ackedAt     uint64 // send tick of the latest acknowledged message
+	learner     bool
+	snapshotAt  uint64 // tick at which a snapshot was sent; 0 for none
+}
+
+// New returns a node that continues from what was saved.
+func New(cfg Config, saved Saved) *Node {
+	if cfg.ElectionTicks == 0 {
+		cfg.ElectionTicks = defaultElectionTicks
+	}
+	if cfg.HeartbeatTicks == 0 {
+		cfg.HeartbeatTicks = defaultHeartbeatTicks
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = func(int) int { return 0 }
+	}
+	n := &Node{cfg: cfg, hard: saved.Hard, savedHard: saved.Hard, log: newLog(saved)}
+	n.committed = n.log.commit
+	n.recovery.active = !saved.Hard.Admitted && len(cfg.Peers) > 1
+	n.resetTimeout()
+	return n
+}
+
+// Role returns the node's role.
+func (n *Node) Role() Role { return n.role }
+
+// Leader returns the known leader of the current term, or "".
+func (n *Node) Leader() string { return n.leader }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Commit returns the highest committed index.
+func (n *Node) Commit() uint64 { return n.log.commit }
+
+// Recovering reports whether the node may not vote yet.
+func (n *Node) Recovering() bool { return n.recovery.active }
+
+// HasLease reports whether the node is the leader, has committed an entry of
+// its own term, and no other leader can have been elected since: a quorum
+// acknowledged a message that it sent less than an election timeout ago.
+func (n *Node) HasLease() bool {
+	if n.role != Leader || n.log.termAt(n.log.commit) != n.hard.Term {
+		return false
+	}
+	recent := 0
+	window := uint64(n.cfg.ElectionTicks) * 3 / 4
+	for _, id := range n.cfg.Peers {
+		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < window && !n.progress[id].learner {
+			recent++
+		}
+	}
+	return recent >= n.quorum()
+}
+
+// Tick advances the node's clock by one.
+func (n *Node) Tick() {
+	n.now++
+	if n.recovery.active {
+		n.tickRecovery()
+	}
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.now-n.heardAt >= n.timeout && !n.recovery.active {
+		n.campaign(PreCandidate)
+	}
+}
+
+func (n *Node) tickLeader() {
+	if n.now%uint64(n.cfg.HeartbeatTicks) == 0 {
+		n.broadcast()
+	}
+	if n.now-n.heardAt < uint64(2*n.cfg.ElectionTicks) {
+		return
+	}
+	// A leader that no quorum answers steps down, so that its callers learn
+	// that nothing is accepted here.
+	n.heardAt = n.now
+	recent := 1
+	for id, p := range n.progress {
+		if id != n.cfg.ID && n.now-p.ackedAt < uint64(2*n.cfg.ElectionTicks) {
+			recent++
+		}
+	}
+	if recent < n.quorum() {
+		n.become(Follower, n.hard.Term, "")
+	}
+}
+
+// Propose appends data to the log and returns its index and term. It returns
+// false when the node is not the leader.
+func (n *Node) Propose(data []byte) (index, term uint64, ok bool) {
+	if n.role != Leader {
+		return 0, 0, false
+	}
+	e := Entry{Index: n.log.last() + 1, Term: n.hard.Term, Data: data}
+	n.log.append(e)
+	n.progress[n.cfg.ID].match = e.Index
+	n.advanceCommit()
+	n.broadcast()
+	return e.Index, e.Term, true
+}
+
+// Compact drops the log up to an applied index, for which data is the
+// snapshot. It returns the snapshot to make durable.
+func (n *Node) Compact(index uint64, data []byte) Snapshot {
+	snap := Snapshot{Index: index, Term: n.log.termAt(index), Data: data}
+	n.log.compact(snap)
+	return snap
+}
+
+// Tail returns the entries after the latest snapshot.
+func (n *Node) Tail() []Entry { return n.log.entries }
+
+// Hard returns the state to store with a snapshot.
+func (n *Node) Hard() Hard { return n.hard }
+
+// Output is what the caller has to carry out, in the order of the fields.
+type Output struct {
+	Hard      *Hard     // to make durable, if set
+	Snapshot  *Snapshot // to make durable and to apply, if set
+	Append    []Entry   // to make durable, replacing any entry at or after the first
+	Messages  []Message
+	Committed []Entry // to apply
+}
+
+// Take returns the work that has come up since the last call.
+func (n *Node) Take() Output {
+	var out Output
+	if n.hard != n.savedHard {
+		hard := n.hard
+		out.Hard = &hard
+		n.savedHard = n.hard
+	}
+	if n.install != nil {
+		out.Snapshot = n.install
+		n.committed = n.install.Index
+		n.install = nil
+	}
+	out.Append = n.log.takeUnsaved()
+	out.Messages, n.messages = n.messages, nil
+	if n.log.commit > n.committed {
+		out.Committed = slices.Clone(n.log.slice(n.committed+1, n.log.commit))
+		n.committed = n.log.commit
+	}
+	return out
+}
+
+func (n *Node) quorum() int { return len(n.cfg.Peers)/2 + 1 }
+
+func (n *Node) resetTimeout() {
+	n.heardAt = n.now
+	n.timeout = uint64(n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks))
+}
+
+func (n *Node) become(role Role, term uint64, leader string) {
+	if term > n.hard.Term {
+		n.hard.Term, n.hard.Vote = term, ""
+	}
+	n.role, n.leader = role, leader
+	n.votes = nil
+	n.resetTimeout()
+}
+
+func (n *Node) campaign(role Role) {
+	n.become(role, n.hard.Term, "")
+	n.votes = map[string]bool{n.cfg.ID: true}
+	m := Message{Kind: KindPreVote, Term: n.hard.Term + 1}
+	if role == Candidate {
+		n.hard.Term++
+		n.hard.Vote = n.cfg.ID
+		m = Message{Kind: KindVote, Term: n.hard.Term}
+	}
+	m.Index, m.LogTerm = n.log.last(), n.log.termAt(n.log.last())
+	for _, id := range n.cfg.Peers {
+		n.send(id, m)
+	}
+	n.countVotes()
+}
+
+func (n *Node) countVotes() {
+	if len(n.votes) < n.quorum() {
+		return
+	}
+	if n.role == PreCandidate {
+		n.campaign(Candidate)
+		return
+	}
+	n.lead()
+}
+
+func (n *Node) lead() {
+	n.become(Leader, n.hard.Term, n.cfg.ID)
+	n.progress = map[string]*progress{}
+	for _, id := range n.cfg.Peers {
+		n.progress[id] = &progress{next: n.log.last() + 1}
+	}
+	// An entry of the new term commits everything before it.
+	n.Propose(nil)
+}
+
+func (n *Node) broadcast() {
+	for _, id := range n.cfg.Peers {
+		if id != n.cfg.ID {
+			n.sendAppend(id)
+		}
+	}
+}
+
+func (n *Node) sendAppend(id string) {
+	p := n.progress[id]
+	if p.next <= n.log.snapshot.Index {
+		n.sendSnapshot(id, p)
+		return
+	}
+	entries := n.log.slice(p.next, min(n.log.last(), p.next+maxEntriesPerMessage-1))
+	n.send(id, Message{
+		Kind: KindAppend, Term: n.hard.Term, Index: p.next - 1, LogTerm: n.log.termAt(p.next - 1),
+		Entries: slices.Clone(entries), Commit: n.log.commit, Sent: n.now,
+	})
+	// The next message continues after this one; a reply that rejects it says
+	// where to resume if it got lost.
+	p.next += uint64(len(entries))
+}
+
+func (n *Node) sendSnapshot(id string, p *progress) {
+	if p.snapshotAt != 0 && n.now-p.snapshotAt < uint64(n.cfg.ElectionTicks) {
+		return
+	}
+	p.snapshotAt = n.now
+	snap := n.log.snapshot
+	n.send(id, Message{Kind: KindSnapshot, Term: n.hard.Term, Snapshot: &snap, Sent: n.now})
+}
+
+func (n *Node) advanceCommit() {
+	var matches []uint64
+	for _, id := range n.cfg.Peers {
+		match := n.progress[id].match
+		if n.progress[id].learner {
+			match = 0
+		}
+		matches = append(matches, match)
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-n.quorum()]
+	if index > n.log.commit && n.log.termAt(index) == n.hard.Term {
+		n.log.commit = index
+	}
+}
+
+func (n *Node) send(to string, m Message) {
+	if to == n.cfg.ID {
+		return
+	}
+	m.From, m.To = n.cfg.ID, to
+	n.messages = append(n.messages, m)
+}
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,270 @@
+// Package table assigns the flows of a service to backend servers by hash
+// bucket, and moves buckets in stages so that no established flow changes its
+// backend server.
+//
+// A bucket is Closed most of the time: each instance sends a flow that it does
+// not know to the bucket's owner without talking to anybody. When the owner
+// changes, the bucket passes through these stages:
+//
+//   - Preparing: instances ask the bucket's record keeper about every flow that
+//     they do not know. The keeper still chooses the former owner, the base.
+//   - Open: every live instance is known to ask. The keeper gives starting flows
+//     to the new owner and records them; an unrecorded flow that is under way
+//     must be older than the move, so it belongs to the base.
+//   - Closing: every flow older than the move has been recorded or has been
+//     idle too long. Instances fetch the records that differ from the owner.
+//   - Closed: instances decide alone again, with those records as exceptions.
+//
+// # Usage
+//
+//	t := table.New(table.Size(len(servers)))
+//	t = t.Rebalance(servers, version)
+//	b := t.Bucket(flowHash)
+package table
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"boragepost/core/model"
+	"boragepost/core/place"
+)
+
+// Stage is the stage of a bucket's move.
+type Stage uint8
+
+// The stages of a bucket, in order.
+const (
+	Closed Stage = iota
+	Preparing
+	Open
+	Closing
+)
+
+// String returns the stage's name.
+func (s Stage) String() string {
+	return [...]string{"closed", "preparing", "open", "closing"}[s&3]
+}
+
+// Bucket says who takes the flows of one hash bucket.
+type Bucket struct {
+	Owner model.ServerID `cbor:"1,keyasint"`
+	// Base is the owner before the move; it takes unrecorded flows under way.
+	Base  model.ServerID `cbor:"2,keyasint,omitempty"`
+	Stage Stage          `cbor:"3,keyasint,omitempty"`
+	// Since is the log index at which the stage began; 0 in a bucket that has
+	// never moved away from a living backend server.
+	Since uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Choose returns the backend server of a flow without a record. A bucket that
+// prepares a move still gives every flow to the base; an open one gives only
+// flows that are under way to it.
+func (b Bucket) Choose(starting bool) model.ServerID {
+	switch {
+	case b.Stage == Preparing:
+		return b.Base
+	case b.Stage == Open && !starting:
+		return b.Base
+	default:
+		return b.Owner
+	}
+}
+
+// Table is an immutable assignment of buckets.
+type Table struct {
+	Buckets []Bucket `cbor:"1,keyasint"`
+}
+
+const (
+	minBuckets       = 256
+	maxBuckets       = 1 << 16
+	bucketsPerServer = 64
+)
+
+// Size returns the number of buckets for a service with the given number of
+// backend servers, a power of two.
+func Size(servers int) int {
+	want := uint(max(servers, 1) * bucketsPerServer)
+	n := 1 << bits.Len(want-1)
+	return min(max(n, minBuckets), maxBuckets)
+}
+
+// New returns a table of n buckets without owners; n must be a power of two.
+func New(n int) Table { return Table{Buckets: make([]Bucket, n)} }
+
+// Index returns the bucket number of a flow hash.
+func (t Table) Index(hash uint64) int { return int(hash & uint64(len(t.Buckets)-1)) }
+
+// Bucket returns the bucket of a flow hash. The table must not be empty.
+func (t Table) Bucket(hash uint64) Bucket { return t.Buckets[t.Index(hash)] }
+
+// Grown returns a table with at least n buckets; n must be a power of two. Each
+// old bucket becomes several with the same contents, so no decision changes.
+func (t Table) Grown(n int) Table {
+	if len(t.Buckets) == 0 {
+		return New(n)
+	}
+	for len(t.Buckets) < n {
+		t.Buckets = slices.Concat(t.Buckets, t.Buckets)
+	}
+	return t
+}
+
+// Rebalance returns a table in which only the given backend servers own
+// buckets, in proportion to their weights, with as few moves as possible. Only
+// active backend servers receive buckets. A bucket whose former owner is in
+// alive starts a staged move; all other moves take effect at once.
+func (t Table) Rebalance(active []model.BackendServer, alive map[model.ServerID]bool, version uint64) Table {
+	next := Table{Buckets: slices.Clone(t.Buckets)}
+	quota := quotas(active, len(next.Buckets))
+	var free []int
+	for i := range next.Buckets {
+		owner := next.Buckets[i].Owner
+		if quota[owner] > 0 {
+			quota[owner]--
+			continue
+		}
+		free = append(free, i)
+	}
+	for _, i := range free {
+		next.Buckets[i] = next.Buckets[i].move(takeQuota(quota, active, i), alive, version)
+	}
+	next.dropDeadBases(alive)
+	return next
+}
+
+// quotas returns the number of buckets for each backend server. They differ
+// from the exact proportion by less than one.
+func quotas(active []model.BackendServer, buckets int) map[model.ServerID]int {
+	total := 0
+	for _, s := range active {
+		total += s.Share()
+	}
+	quota := make(map[model.ServerID]int, len(active))
+	given, seen := 0, 0
+	for _, s := range sorted(active) {
+		seen += s.Share()
+		upTo := seen * buckets / total
+		quota[s.ID] = upTo - given
+		given = upTo
+	}
+	return quota
+}
+
+// takeQuota picks the owner of a free bucket among backend servers that have
+// quota left, by rendezvous score so that the choice spreads evenly.
+func takeQuota(quota map[model.ServerID]int, active []model.BackendServer, bucket int) model.ServerID {
+	var best model.ServerID
+	var bestScore uint64
+	for _, s := range active {
+		if quota[s.ID] <= 0 {
+			continue
+		}
+		score := place.Mix(uint64(bucket), uint64(s.ID))
+		if best == 0 || score > bestScore || score == bestScore && s.ID < best {
+			best, bestScore = s.ID, score
+		}
+	}
+	if best != 0 {
+		quota[best]--
+	}
+	return best
+}
+
+func sorted(servers []model.BackendServer) []model.BackendServer {
+	out := slices.Clone(servers)
+	slices.SortFunc(out, func(a, b model.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// move returns the bucket with a new owner. While a move is under way every
+// unrecorded flow passes through the record keeper, so a second move needs no
+// preparation: only the owner changes.
+func (b Bucket) move(to model.ServerID, alive map[model.ServerID]bool, version uint64) Bucket {
+	if to == 0 {
+		// No backend server can take the bucket; flows stay where they are.
+		if !alive[b.Owner] {
+			b.Owner = 0
+		}
+		return b
+	}
+	if b.Stage == Closed && !alive[b.Owner] {
+		return Bucket{Owner: to, Since: b.Since}
+	}
+	if b.Stage == Closed {
+		return Bucket{Owner: to, Base: b.Owner, Stage: Preparing, Since: version}
+	}
+	if b.Stage == Closing {
+		return Bucket{Owner: to, Base: b.Owner, Stage: Preparing, Since: version}
+	}
+	b.Owner = to
+	return b
+}
+
+// dropDeadBases ends the part of a base that no longer lives: its unrecorded
+// flows are lost with it and go to the owner.
+func (t Table) dropDeadBases(alive map[model.ServerID]bool) {
+	for i, b := range t.Buckets {
+		if b.Base != 0 && !alive[b.Base] {
+			t.Buckets[i].Base = b.Owner
+		}
+	}
+}
+
+// Advance returns a table in which every bucket that entered the stage before
+// the given one at or before through has entered it at version.
+func (t Table) Advance(to Stage, through, version uint64) Table {
+	from := before(to)
+	next := Table{Buckets: slices.Clone(t.Buckets)}
+	for i, b := range next.Buckets {
+		if b.Stage != from || b.Since > through {
+			continue
+		}
+		b.Stage = to
+		if to == Closed {
+			// Since stays: the exceptions date from the Closing stage.
+			b.Base = 0
+		} else {
+			b.Since = version
+		}
+		next.Buckets[i] = b
+	}
+	return next
+}
+
+func before(to Stage) Stage {
+	switch to {
+	case Open:
+		return Preparing
+	case Closing:
+		return Open
+	default:
+		return Closing
+	}
+}
+
+// Oldest returns the lowest Since of the buckets in a stage, and whether there
+// is one.
+func (t Table) Oldest(s Stage) (uint64, bool) {
+	oldest, found := uint64(0), false
+	for _, b := range t.Buckets {
+		if b.Stage == s && (!found || b.Since < oldest) {
+			oldest, found = b.Since, true
+		}
+	}
+	return oldest, found
+}
+
+// Latest returns the highest Since of the buckets in a stage, and whether
+// there is one.
+func (t Table) Latest(s Stage) (uint64, bool) {
+	latest, found := uint64(0), false
+	for _, b := range t.Buckets {
+		if b.Stage == s {
+			latest, found = max(latest, b.Since), true
+		}
+	}
+	return latest, found
+}
--- /dev/null
+++ b/io/client/client.go
@@ -0,0 +1,226 @@
+// Package client calls the resource API of the control replicas.
+//
+// # Usage
+//
+//	c := client.Client{Endpoints: []string{"127.0.0.1:9101"}, Actor: "ops"}
+//	accepted, err := c.PutService(ctx, service, client.Any)
+//
+// A call goes to one endpoint after another until one answers. Changes carry a
+// request identifier, so that a change which is sent twice takes effect once.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"boragepost/core/model"
+	"boragepost/io/ctrl"
+	"boragepost/io/proto"
+)
+
+// Any as an expected resource version overwrites whatever there is.
+const Any = ^uint64(0)
+
+const (
+	callTimeout = 8 * time.Second
+	retryDelay  = 200 * time.Millisecond
+)
+
+// Client reaches one deployment. Endpoints must not be empty.
+type Client struct {
+	Endpoints []string
+	// Actor is written into the audit trail.
+	Actor string
+	// Attempts is the number of rounds over the endpoints; 0 counts as 1.
+	Attempts int
+}
+
+// PutService creates or replaces a service whose present resource version is
+// expect: 0 for a new one, Any for whatever there is. It returns a
+// *ctrl.Problem when the change was refused.
+func (c Client) PutService(ctx context.Context, svc model.Service, expect uint64) (ctrl.Accepted, error) {
+	svc = svc.WithVersion(0, 0)
+	return change(ctx, c, http.MethodPut, "/v1/services/"+svc.Name, svc, expect)
+}
+
+// DeleteService removes a service.
+func (c Client) DeleteService(ctx context.Context, name string, expect uint64) (ctrl.Accepted, error) {
+	return change(ctx, c, http.MethodDelete, "/v1/services/"+name, nil, expect)
+}
+
+// Drain starts to remove a backend server from its service.
+func (c Client) Drain(ctx context.Context, service, name string) (ctrl.Accepted, error) {
+	return change(ctx, c, http.MethodPost, "/v1/backendServers/"+service+"/"+name+"/drain", nil, Any)
+}
+
+// Service returns one service.
+func (c Client) Service(ctx context.Context, name string) (ctrl.ServiceView, error) {
+	return get[ctrl.ServiceView](ctx, c, "/v1/services/"+name)
+}
+
+// Services returns all services.
+func (c Client) Services(ctx context.Context) (ctrl.List[ctrl.ServiceView], error) {
+	return get[ctrl.List[ctrl.ServiceView]](ctx, c, "/v1/services")
+}
+
+// Servers returns all backend servers.
+func (c Client) Servers(ctx context.Context) (ctrl.List[model.BackendServer], error) {
+	return get[ctrl.List[model.BackendServer]](ctx, c, "/v1/backendServers")
+}
+
+// Instances returns all entry instances.
+func (c Client) Instances(ctx context.Context) (ctrl.List[model.Instance], error) {
+	return get[ctrl.List[model.Instance]](ctx, c, "/v1/instances")
+}
+
+// Status returns what the leader knows of the deployment.
+func (c Client) Status(ctx context.Context) (proto.Status, error) {
+	return get[proto.Status](ctx, c, "/v1/status")
+}
+
+// Audit returns the audit trail from a resource version on.
+func (c Client) Audit(ctx context.Context, from uint64) (ctrl.List[model.Audit], error) {
+	return get[ctrl.List[model.Audit]](ctx, c, "/v1/audit?from="+strconv.FormatUint(from, 10))
+}
+
+// Watch calls f for each change from a resource version on, until ctx ends or f
+// returns an error. It goes on at another endpoint when one is lost.
+func (c Client) Watch(ctx context.Context, from uint64, f func(model.Audit) error) error {
+	for round := 0; ctx.Err() == nil; round++ {
+		next, err := c.watchOnce(ctx, c.Endpoints[round%len(c.Endpoints)], from, f)
+		from = next
+		if err != nil {
+			return err
+		}
+		pause(ctx, retryDelay)
+	}
+	return ctx.Err()
+}
+
+// watchOnce follows one endpoint and returns the version to continue from. Its
+// error is that of f.
+func (c Client) watchOnce(ctx context.Context, endpoint string, from uint64, f func(model.Audit) error) (uint64, error) {
+	url := "http://" + endpoint + "/v1/watch?from=" + strconv.FormatUint(from, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return from, fmt.Errorf("watch: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return from, nil
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		var a model.Audit
+		if json.Unmarshal(lines.Bytes(), &a) != nil {
+			return from, nil
+		}
+		if err := f(a); err != nil {
+			return from, err
+		}
+		from = a.Index + 1
+	}
+	return from, nil
+}
+
+func change(ctx context.Context, c Client, method, path string, body any, expect uint64) (ctrl.Accepted, error) {
+	header := http.Header{}
+	header.Set(ctrl.HeaderActor, c.Actor)
+	header.Set(ctrl.HeaderRequestID, strconv.FormatUint(rand.Uint64(), 36))
+	header.Set("If-Match", strconv.FormatUint(expect, 10))
+	if expect == Any {
+		header.Set("If-Match", "*")
+	}
+	return call[ctrl.Accepted](ctx, c, method, path, header, body)
+}
+
+func get[T any](ctx context.Context, c Client, path string) (T, error) {
+	return call[T](ctx, c, http.MethodGet, path, http.Header{}, nil)
+}
+
+// call tries the endpoints in turn. Only an answer that leaves the outcome open
+// leads to another try.
+func call[T any](ctx context.Context, c Client, method, path string, header http.Header, body any) (T, error) {
+	var zero T
+	data, err := json.Marshal(body)
+	if err != nil {
+		return zero, fmt.Errorf("encode request: %w", err)
+	}
+	var last error
+	for range max(c.Attempts, 1) {
+		for _, endpoint := range c.Endpoints {
+			v, err := callOnce[T](ctx, method, "http://"+endpoint+path, header, data)
+			if err == nil || isFinal(err) {
+				return v, err
+			}
+			last = err
+		}
+		pause(ctx, retryDelay)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return zero, last
+}
+
+// isFinal reports whether another endpoint would give the same answer.
+func isFinal(err error) bool {
+	var p *ctrl.Problem
+	return errors.As(err, &p) && p.Status < http.StatusInternalServerError
+}
+
+func callOnce[T any](ctx context.Context, method, url string, header http.Header, data []byte) (T, error) {
+	var v T
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return v, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	req.Header = header.Clone()
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return v, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	defer resp.Body.Close()
+	payload, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return v, fmt.Errorf("%s %s: read answer: %w", method, url, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return v, problemOf(resp, payload)
+	}
+	if err := json.Unmarshal(payload, &v); err != nil {
+		return v, fmt.Errorf("%s %s: decode answer: %w", method, url, err)
+	}
+	return v, nil
+}
+
+func problemOf(resp *http.Response, payload []byte) error {
+	p := &ctrl.Problem{}
+	if json.Unmarshal(payload, p) != nil || p.Title == "" {
+		p.Title = resp.Status
+	}
+	p.Status = resp.StatusCode
+	return p
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/demo/report.go
@@ -0,0 +1,126 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"boragepost/io/stand"
+)
+
+// Report is the outcome of a demo, by the counts of the stand-ins.
+type Report struct {
+	Flows        int     `json:"flows"`
+	BrokenFlows  int     `json:"brokenFlows"`
+	Misdelivered int     `json:"misdelivered"`
+	Requests     int     `json:"requests"`
+	Answered     int     `json:"answered"`
+	NotRun       int     `json:"notRun"`
+	Unknown      int     `json:"unknown"`
+	Lost         int     `json:"lost"`
+	Doubled      int     `json:"doubled"`
+	Imbalance    float64 `json:"imbalance"`
+	P99ShortMs   float64 `json:"p99ShortMs"`
+	ControlBytes int64   `json:"controlBytesPerNodeSec"`
+
+	// Details beyond the summary line.
+	Packets     int            `json:"packets"`
+	Crossed     int            `json:"crossed"`
+	FalseNotRun int            `json:"falseNotRun"`
+	Unopened    int            `json:"unopened"`
+	Reasons     map[string]int `json:"brokenReasons,omitempty"`
+	Seed        uint64         `json:"seed"`
+}
+
+// Line returns the summary as one line.
+func (r Report) Line() string {
+	return fmt.Sprintf("demo flows=%d brokenFlows=%d misdelivered=%d requests=%d answered=%d notRun=%d "+
+		"unknown=%d lost=%d doubled=%d imbalance=%.2f p99ShortMs=%.1f controlBytesPerNodeSec=%d",
+		r.Flows, r.BrokenFlows, r.Misdelivered, r.Requests, r.Answered, r.NotRun,
+		r.Unknown, r.Lost, r.Doubled, r.Imbalance, r.P99ShortMs, r.ControlBytes)
+}
+
+// Harm returns the number of events that must never happen.
+func (r Report) Harm() int {
+	return r.BrokenFlows + r.Misdelivered + r.Lost + r.Doubled + r.Crossed + r.FalseNotRun
+}
+
+func (r *run) report() Report {
+	flows, orders := r.flows.Report(), r.orders.Report()
+	out := Report{
+		Flows: flows.Opened, BrokenFlows: flows.Broken, Unopened: flows.Unopened, Reasons: flows.Reasons,
+		Requests: orders.Requests, Answered: orders.Answered, NotRun: orders.NotRun, Unknown: orders.Unknown,
+		Lost: orders.Lost, Crossed: flows.Crossed + orders.Crossed,
+		P99ShortMs: float64(orders.ShortP99) / float64(time.Millisecond),
+		Seed:       r.opts.Seed,
+	}
+	var ledgers []stand.Ledger
+	for _, s := range r.servers {
+		ledgers = append(ledgers, s.Ledger())
+	}
+	out.Audit(ledgers, orders)
+	out.Imbalance = r.imbalance(flows)
+	out.ControlBytes = r.controlBytes()
+	return out
+}
+
+// Audit fills in what only the backend servers' ledgers can tell.
+func (r *Report) Audit(ledgers []stand.Ledger, orders stand.OrderReport) {
+	runs := map[string]int{}
+	for _, l := range ledgers {
+		r.Misdelivered += l.Misdelivered
+		r.Packets += l.Packets
+		for key, n := range l.Runs {
+			runs[key] += n
+		}
+	}
+	for _, n := range runs {
+		if n > 1 {
+			r.Doubled++
+		}
+	}
+	for _, key := range orders.NotRunKeys {
+		if runs[key] > 0 {
+			r.FalseNotRun++
+		}
+	}
+	for _, key := range orders.AnsweredKeys {
+		if runs[key] == 0 {
+			r.Lost++
+		}
+	}
+}
+
+// imbalance returns the ratio of the most loaded backend server of a service to
+// the mean, by open flows, the worst of all services. Draining backend servers
+// are left out.
+func (r *run) imbalance(flows stand.FlowReport) float64 {
+	draining := map[string]bool{"comptoir-1": true, "catalogue-2": true}
+	most, sum, count := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, s := range r.site.Servers {
+		if draining[s.Name] {
+			continue
+		}
+		n := flows.ByServer[s.Name]
+		most[s.Service] = max(most[s.Service], n)
+		sum[s.Service] += n
+		count[s.Service]++
+	}
+	worst := 0.0
+	for service := range most {
+		if sum[service] > 0 {
+			worst = max(worst, float64(most[service]*count[service])/float64(sum[service]))
+		}
+	}
+	return worst
+}
+
+// controlBytes returns the bytes that an entry instance sends and receives on
+// links in a second, on average.
+func (r *run) controlBytes() int64 {
+	total := r.bytes
+	for _, e := range r.entries {
+		total += e.LinkBytes()
+	}
+	seconds := time.Since(r.began).Seconds()
+	return int64(float64(total) / float64(len(r.entries)) / seconds)
+}
--- /dev/null
+++ b/io/entry/metrics.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"boragepost/core/flow"
+)
+
+// counters count packets and questions.
+type counters struct {
+	forwarded, resolved, malformed, sendErrors    atomic.Int64
+	questions, questionsExpired, questionsRefused atomic.Int64
+	noService, noServer, noLease, unverified      atomic.Int64
+}
+
+func (c *counters) drop(reason flow.Reason) {
+	switch reason {
+	case flow.NoService:
+		c.noService.Add(1)
+	case flow.NoServer:
+		c.noServer.Add(1)
+	case flow.NoLease:
+		c.noLease.Add(1)
+	case flow.Unverified:
+		c.unverified.Add(1)
+	}
+}
+
+// registry returns the instance's metrics.
+func (e *Entry) registry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	counter := func(name, help string, labels prometheus.Labels, v *atomic.Int64) {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "boragepost", Subsystem: "entry", Name: name, Help: help, ConstLabels: labels},
+			func() float64 { return float64(v.Load()) }))
+	}
+	c := &e.counters
+	counter("forwarded_packets_total", "Packets forwarded by the table or a known flow.", nil, &c.forwarded)
+	counter("resolved_packets_total", "Packets forwarded after a question to a record keeper.", nil, &c.resolved)
+	counter("malformed_packets_total", "Datagrams that could not be read.", nil, &c.malformed)
+	counter("send_errors_total", "Batches that the socket refused.", nil, &c.sendErrors)
+	counter("questions_total", "Questions to record keepers.", nil, &c.questions)
+	counter("questions_expired_total", "Questions that were not answered in time.", nil, &c.questionsExpired)
+	counter("questions_refused_total", "Questions dropped because too many were open.", nil, &c.questionsRefused)
+	for reason, v := range map[flow.Reason]*atomic.Int64{
+		flow.NoService: &c.noService, flow.NoServer: &c.noServer,
+		flow.NoLease: &c.noLease, flow.Unverified: &c.unverified,
+	} {
+		counter("dropped_packets_total", "Packets dropped by reason.", prometheus.Labels{"reason": string(reason)}, v)
+	}
+	counter("link_sent_bytes_total", "Payload bytes sent on links.", nil, &e.meter.Sent)
+	counter("link_received_bytes_total", "Payload bytes received on links.", nil, &e.meter.Received)
+	e.registerGauges(reg)
+	e.gateway.Register(reg)
+	return reg
+}
+
+func (e *Entry) registerGauges(reg *prometheus.Registry) {
+	gauge := func(name, help string, value func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "boragepost", Subsystem: "entry", Name: name, Help: help}, value))
+	}
+	gauge("flows", "Established flows that the instance remembers.", func() float64 {
+		live, _ := e.balancer.Flows()
+		return float64(live)
+	})
+	gauge("half_open_flows", "Flows of which only starting packets were seen.", func() float64 {
+		_, half := e.balancer.Flows()
+		return float64(half)
+	})
+	gauge("has_lease", "1 while the instance holds a lease.", func() float64 {
+		if e.balancer.HasLease(e.now()) {
+			return 1
+		}
+		return 0
+	})
+	gauge("applied_version", "Log index in force at the instance.", func() float64 { return float64(e.applied.Load()) })
+	gauge("flow_records", "Flow records held for shards.", func() (v float64) {
+		e.read(func() { v = float64(e.flows.Len()) })
+		return v
+	})
+	gauge("claims", "Request claims held for shards.", func() (v float64) {
+		e.read(func() { v = float64(e.claims.Len()) })
+		return v
+	})
+	gauge("gathering_shards", "Shards that are being rebuilt here.", func() (v float64) {
+		e.read(func() { v = float64(e.flows.Gathering() + e.claims.Gathering()) })
+		return v
+	})
+}
--- /dev/null
+++ b/io/entry/peers.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+
+	"boragepost/core/claim"
+	"boragepost/core/flow"
+	"boragepost/core/model"
+	"boragepost/core/shard"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+// refreshPeers keeps a link to each other member.
+func (e *Entry) refreshPeers() {
+	for id, p := range e.peers {
+		if m, ok := e.state.Instance(id); !ok || m.Peer != p.addr {
+			p.stop()
+			delete(e.peers, id)
+		}
+	}
+	for _, m := range e.state.Instances() {
+		if _, linked := e.peers[m.ID]; linked || m.ID == e.self.ID {
+			continue
+		}
+		ctx, cancel := context.WithCancel(e.ctx)
+		client := links.NewClient(ctx, m.Peer.String(), proto.PeerPath,
+			links.Options[proto.ToPeer, proto.ToPeer]{Meter: &e.meter})
+		e.peers[m.ID] = peer{addr: m.Peer, client: client, stop: cancel}
+	}
+}
+
+// servePeer handles the link of another entry instance.
+func (e *Entry) servePeer(c *links.Conn[proto.ToPeer, proto.ToPeer]) {
+	for m := range c.Messages() {
+		if !e.post(func() { e.onPeer(m) }) {
+			return
+		}
+	}
+}
+
+func (e *Entry) onPeer(m proto.ToPeer) {
+	switch {
+	case m.Flow != nil:
+		e.sendFlows(e.flows.Handle(m.From, *m.Flow))
+	case m.Claim != nil:
+		e.sendClaims(e.claims.Handle(m.From, *m.Claim))
+	case m.Fetch != nil:
+		e.onFetch(m.From, *m.Fetch)
+	case m.Fetched != nil:
+		e.onFetched(*m.Fetched)
+	}
+}
+
+func (e *Entry) sendPeer(to model.InstanceID, m proto.ToPeer) {
+	m.From = e.self.ID
+	if to == e.self.ID {
+		e.onPeer(m)
+		return
+	}
+	if p, ok := e.peers[to]; ok {
+		p.client.Send(m)
+	}
+}
+
+func (e *Entry) sendFlows(sends []shard.Send[flow.Key, flow.Record]) {
+	for _, s := range sends {
+		e.sendPeer(s.To, proto.ToPeer{Flow: &s.Message})
+	}
+}
+
+func (e *Entry) sendClaims(sends []shard.Send[claim.Key, claim.Record]) {
+	for _, s := range sends {
+		e.sendPeer(s.To, proto.ToPeer{Claim: &s.Message})
+	}
+}
--- /dev/null
+++ b/io/entry/plane.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
+
+	"boragepost/core/flow"
+	"boragepost/core/shard"
+	"boragepost/io/packet"
+)
+
+const (
+	shards = shard.Shards
+	// maxDatagram is the largest datagram that is accepted, in bytes.
+	maxDatagram  = 9216
+	batchSize    = 64
+	socketBuffer = 4 << 20 // bytes
+)
+
+// plane is the packet path: workers that read from the fabric and write to
+// backend servers, each with a socket of its own on the same endpoint.
+type plane struct {
+	entry   *Entry
+	sockets []*net.UDPConn
+}
+
+func openPlane(e *Entry) (*plane, error) {
+	p := &plane{entry: e}
+	for range max(e.cfg.Settings.Workers, 1) {
+		conn, err := listenShared(e.ctx, e.cfg.Settings.Packets)
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		p.sockets = append(p.sockets, conn)
+	}
+	return p, nil
+}
+
+// listenShared opens one of several sockets on an endpoint, among which the
+// kernel spreads the datagrams.
+func listenShared(ctx context.Context, addr netip.AddrPort) (*net.UDPConn, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var optErr error
+		err := c.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return errors.Join(err, optErr)
+	}}
+	conn, err := lc.ListenPacket(ctx, "udp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for packets: %w", err)
+	}
+	udp := conn.(*net.UDPConn)
+	udp.SetReadBuffer(socketBuffer)
+	udp.SetWriteBuffer(socketBuffer)
+	return udp, nil
+}
+
+func (p *plane) run(wg *sync.WaitGroup) {
+	for _, conn := range p.sockets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			newWorker(p.entry, conn).run()
+		}()
+	}
+}
+
+func (p *plane) close() {
+	if p == nil {
+		return
+	}
+	for _, c := range p.sockets {
+		c.Close()
+	}
+}
+
+// sendHeld sends a packet that waited for an answer.
+func (p *plane) sendHeld(v flow.Verdict, inner []byte) {
+	if v.Action != flow.Forward {
+		p.entry.counters.drop(v.Reason)
+		return
+	}
+	p.entry.counters.resolved.Add(1)
+	p.sockets[0].WriteToUDPAddrPort(inner, v.Target)
+}
+
+// worker moves packets from one socket to backend servers, a batch at a time.
+type worker struct {
+	entry  *Entry
+	conn   *ipv4.PacketConn
+	parser *packet.Parser
+	in     []ipv4.Message
+	out    []ipv4.Message
+	addrs  map[netip.AddrPort]*net.UDPAddr
+}
+
+func newWorker(e *Entry, conn *net.UDPConn) *worker {
+	w := &worker{
+		entry: e, conn: ipv4.NewPacketConn(conn), parser: packet.NewParser(),
+		in: make([]ipv4.Message, batchSize), out: make([]ipv4.Message, 0, batchSize),
+		addrs: map[netip.AddrPort]*net.UDPAddr{},
+	}
+	for i := range w.in {
+		w.in[i].Buffers = [][]byte{make([]byte, maxDatagram)}
+	}
+	for i := range cap(w.out) {
+		w.out[:cap(w.out)][i].Buffers = make([][]byte, 1)
+	}
+	return w
+}
+
+func (w *worker) run() {
+	for {
+		n, err := w.conn.ReadBatch(w.in, 0)
+		if err != nil {
+			if w.entry.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		w.out = w.out[:0]
+		now := w.entry.now()
+		for i := range n {
+			w.handle(now, w.in[i].Buffers[0][:w.in[i].N])
+		}
+		w.flush()
+	}
+}
+
+func (w *worker) handle(now int64, datagram []byte) {
+	c := &w.entry.counters
+	inner, h, err := w.parser.Parse(datagram)
+	if err != nil {
+		c.malformed.Add(1)
+		return
+	}
+	v := w.entry.balancer.Decide(now, h)
+	switch v.Action {
+	case flow.Forward:
+		w.queue(inner, v.Target)
+		if v.Report {
+			w.query(query{verdict: v, header: h})
+		}
+	case flow.Query:
+		w.query(query{verdict: v, header: h, packet: append([]byte(nil), inner...)})
+	default:
+		c.drop(v.Reason)
+	}
+}
+
+func (w *worker) query(q query) {
+	select {
+	case w.entry.queries <- q:
+	default:
+		w.entry.counters.questionsRefused.Add(1)
+	}
+}
+
+func (w *worker) queue(inner []byte, to netip.AddrPort) {
+	addr := w.addrs[to]
+	if addr == nil {
+		addr = net.UDPAddrFromAddrPort(to)
+		w.addrs[to] = addr
+	}
+	w.out = w.out[:len(w.out)+1]
+	m := &w.out[len(w.out)-1]
+	m.Buffers[0] = inner
+	m.Addr = addr
+}
+
+// flush writes the queued packets. A packet that cannot be sent is skipped, as
+// on a full link.
+func (w *worker) flush() {
+	for sent := 0; sent < len(w.out); {
+		n, err := w.conn.WriteBatch(w.out[sent:], 0)
+		if err != nil {
+			w.entry.counters.sendErrors.Add(1)
+			n = max(n, 1)
+		}
+		sent += n
+	}
+	w.entry.counters.forwarded.Add(int64(len(w.out)))
+}
--- /dev/null
+++ b/io/gate/dispatch.go
@@ -0,0 +1,104 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"boragepost/core/model"
+)
+
+// result is the outcome of sending a request. With a response, finish must be
+// called with the error that ended the reading of its body, or nil.
+type result struct {
+	response *http.Response
+	outcome  Outcome
+	detail   string
+	finish   func(error)
+}
+
+// dispatch sends a request to one backend server after another until one has
+// run it, or may have.
+func (g *Gateway) dispatch(ctx context.Context, c *call) result {
+	tried := map[model.ServerID]bool{}
+	detail := "the service has no backend server that takes work"
+	for {
+		if ctx.Err() != nil {
+			return result{outcome: NotRun, detail: "the deadline passed before the request could be sent"}
+		}
+		server, ok := c.pool.acquire(tried)
+		if !ok {
+			return result{outcome: NotRun, detail: detail}
+		}
+		tried[server.ID] = true
+		a := g.attempt(ctx, c, server)
+		if a.response != nil {
+			return a
+		}
+		detail = a.detail
+		if a.outcome == Unknown && !c.safe {
+			return a
+		}
+		if !c.pool.mayRetry() {
+			return a
+		}
+		g.retries.Inc()
+	}
+}
+
+// attempt sends a request to one backend server.
+func (g *Gateway) attempt(ctx context.Context, c *call, server model.BackendServer) result {
+	start := time.Now()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { sent.Store(true) },
+		WroteHeaders:     func() { sent.Store(true) },
+	})
+	release := func(failed bool) { c.pool.release(server.ID, time.Since(start), failed) }
+	resp, err := g.transport.RoundTrip(c.outgoing(ctx, server))
+	switch {
+	case err != nil:
+		release(!errors.Is(ctx.Err(), context.Canceled))
+		if !sent.Load() {
+			return result{outcome: NotRun, detail: fmt.Sprintf("backend server %s could not be reached", server.Name)}
+		}
+		return result{outcome: Unknown, detail: fmt.Sprintf("backend server %s did not answer", server.Name)}
+	case resp.Header.Get(HeaderID) != "" && resp.Header.Get(HeaderID) != c.id:
+		resp.Body.Close()
+		release(true)
+		return result{outcome: Unknown, detail: fmt.Sprintf("backend server %s answered another request", server.Name)}
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) != "":
+		io.Copy(io.Discard, io.LimitReader(resp.Body, maxShedBody))
+		resp.Body.Close()
+		release(false)
+		return result{outcome: NotRun, detail: fmt.Sprintf("backend server %s is full", server.Name)}
+	}
+	return result{response: resp, outcome: Answered, finish: func(err error) {
+		resp.Body.Close()
+		release(err != nil)
+	}}
+}
+
+// maxShedBody is how much of a refusal is read to keep its connection usable.
+const maxShedBody = 4 << 10 // bytes
+
+// outgoing returns the request for a backend server.
+func (c *call) outgoing(ctx context.Context, server model.BackendServer) *http.Request {
+	url := *c.req.URL
+	url.Scheme, url.Host = "http", server.HTTP.String()
+	out := (&http.Request{
+		Method: c.req.Method, URL: &url, Host: c.service, Header: http.Header{},
+		Body: c.bodyReader(), ContentLength: int64(len(c.body)),
+	}).WithContext(ctx)
+	copyHeader(out.Header, c.req.Header)
+	out.Header.Set(HeaderID, c.id)
+	if limit, ok := ctx.Deadline(); ok {
+		out.Header.Set(HeaderTimeout, fmt.Sprintf("%.3f", time.Until(limit).Seconds()))
+	}
+	return out
+}
--- /dev/null
+++ b/io/gate/pool.go
@@ -0,0 +1,147 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"boragepost/core/model"
+	"boragepost/core/share"
+)
+
+// pool is the backend servers of one service as this gateway sees them.
+type pool struct {
+	zone   string
+	mu     sync.Mutex
+	svc    model.Service
+	policy share.Policy
+	busy   map[model.ServerID]*usage
+	list   []model.BackendServer
+	budget share.Budget
+}
+
+// usage is what the gateway has observed of one backend server.
+type usage struct {
+	inFlight int
+	latency  time.Duration
+	failures int // in a row
+	ejected  time.Time
+	since    time.Time
+}
+
+const (
+	// ejectAfter is the number of failures in a row that takes a backend server
+	// out for ejectTime.
+	ejectAfter = 3
+	ejectTime  = 2 * time.Second
+	// latencyWeight is the share of the newest answer in the smoothed latency,
+	// as a divisor.
+	latencyWeight = 8
+)
+
+func newPool(zone string) *pool {
+	return &pool{zone: zone, busy: map[model.ServerID]*usage{}}
+}
+
+func (p *pool) apply(svc Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.svc = svc.Service
+	name := svc.Sharing
+	if name == "" {
+		name = share.Default
+	}
+	if policy, err := share.Policies.Find(name); err == nil {
+		p.policy = policy
+	} else {
+		p.policy, _ = share.Policies.Find(share.Default)
+	}
+	p.list = nil
+	alive := map[model.ServerID]bool{}
+	for _, b := range svc.Servers {
+		alive[b.ID] = true
+		if b.Phase == model.Active && svc.Admits(b.Zone) {
+			p.list = append(p.list, b)
+		}
+		if p.busy[b.ID] == nil {
+			p.busy[b.ID] = &usage{since: time.Now()}
+		}
+	}
+	for id, u := range p.busy {
+		if !alive[id] && u.inFlight == 0 {
+			delete(p.busy, id)
+		}
+	}
+}
+
+// acquire picks a backend server that is not in tried and counts a request in
+// flight there. It reports false when there is none. Ejected backend servers are
+// used only when more than half of the service is ejected, because then the
+// fault is more likely elsewhere.
+func (p *pool) acquire(tried map[model.ServerID]bool) (model.BackendServer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var all, healthy []model.BackendServer
+	for _, b := range p.list {
+		if tried[b.ID] {
+			continue
+		}
+		all = append(all, b)
+		if now.After(p.busy[b.ID].ejected) {
+			healthy = append(healthy, b)
+		}
+	}
+	if 2*len(healthy) < len(all) {
+		healthy = all
+	}
+	if len(healthy) == 0 {
+		return model.BackendServer{}, false
+	}
+	candidates := make([]share.Candidate, len(healthy))
+	for i, b := range healthy {
+		u := p.busy[b.ID]
+		candidates[i] = share.Candidate{
+			ID: b.ID, Slots: b.Slots, InFlight: u.inFlight, Latency: u.latency,
+			SameZone: b.Zone == p.zone, Age: now.Sub(u.since),
+		}
+	}
+	chosen := healthy[p.policy.Pick(candidates, rand.IntN)]
+	p.busy[chosen.ID].inFlight++
+	return chosen, true
+}
+
+// release ends a request at a backend server and records how it went.
+func (p *pool) release(id model.ServerID, took time.Duration, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.busy[id]
+	if u == nil {
+		return
+	}
+	u.inFlight--
+	if failed {
+		u.failures++
+		if u.failures >= ejectAfter {
+			u.ejected = time.Now().Add(ejectTime)
+			u.failures = 0
+		}
+		return
+	}
+	u.failures = 0
+	u.latency += (took - u.latency) / latencyWeight
+}
+
+// mayRetry spends one unit of the retry budget.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Spend()
+}
+
+// started credits the retry budget for a new request.
+func (p *pool) started() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Credit()
+}
--- /dev/null
+++ b/io/links/links.go
@@ -0,0 +1,248 @@
+// Package links carries typed messages between the system's own processes:
+// CBOR in WebSocket.
+//
+// A Conn is one connection. A Client keeps a connection to one address open and
+// dials again when it breaks. Messages that cannot be sent are dropped: every
+// protocol above repeats what matters.
+//
+// # Usage
+//
+//	mux.Handle("/links/peer", links.Handler(func(c *links.Conn[Answer, Question]) {
+//		for m := range c.Messages() { ... }
+//	}))
+//	client := links.NewClient[Question, Answer](ctx, "127.0.0.1:9001", "/links/peer", options)
+//	client.Send(Question{...})
+package links
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	maxMessageBytes = 64 << 20
+	sendQueue       = 1024
+	writeTimeout    = 5 * time.Second
+	dialTimeout     = 2 * time.Second
+	redialDelay     = 100 * time.Millisecond
+)
+
+// Meter counts the payload bytes of connections.
+type Meter struct {
+	Sent, Received atomic.Int64
+}
+
+// Conn is one connection that sends messages of type S and receives messages of
+// type R.
+type Conn[S, R any] struct {
+	ws     *websocket.Conn
+	out    chan []byte
+	in     chan R
+	ctx    context.Context
+	cancel context.CancelFunc
+	meter  *Meter
+}
+
+func newConn[S, R any](ctx context.Context, ws *websocket.Conn, meter *Meter) *Conn[S, R] {
+	ws.SetReadLimit(maxMessageBytes)
+	if meter == nil {
+		meter = &Meter{}
+	}
+	c := &Conn[S, R]{ws: ws, out: make(chan []byte, sendQueue), in: make(chan R), meter: meter}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	go c.write()
+	go c.read()
+	return c
+}
+
+// Send queues a message. It reports false when the connection is closed or its
+// queue is full; a full queue closes the connection, because the other side has
+// stopped reading.
+func (c *Conn[S, R]) Send(m S) bool {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-c.ctx.Done():
+		return false
+	case c.out <- data:
+		return true
+	default:
+		c.Close()
+		return false
+	}
+}
+
+// Messages returns the received messages. The channel is closed when the
+// connection ends.
+func (c *Conn[S, R]) Messages() <-chan R { return c.in }
+
+// Done is closed when the connection ends.
+func (c *Conn[S, R]) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Close ends the connection at once.
+func (c *Conn[S, R]) Close() { c.cancel() }
+
+func (c *Conn[S, R]) write() {
+	defer c.ws.CloseNow()
+	defer c.cancel()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case data := <-c.out:
+			ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+			err := c.ws.Write(ctx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				return
+			}
+			c.meter.Sent.Add(int64(len(data)))
+		}
+	}
+}
+
+func (c *Conn[S, R]) read() {
+	defer close(c.in)
+	defer c.cancel()
+	for {
+		_, data, err := c.ws.Read(c.ctx)
+		if err != nil {
+			return
+		}
+		c.meter.Received.Add(int64(len(data)))
+		var m R
+		if cbor.Unmarshal(data, &m) != nil {
+			return
+		}
+		select {
+		case c.in <- m:
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// Handler accepts connections and runs serve for each of them.
+func Handler[S, R any](ctx context.Context, meter *Meter, serve func(*Conn[S, R])) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		c := newConn[S, R](ctx, ws, meter)
+		defer c.Close()
+		serve(c)
+	})
+}
+
+// Options configure a client. The zero value works.
+type Options[S, R any] struct {
+	// Opened runs on each new connection before its messages are delivered.
+	Opened func(*Conn[S, R])
+	// Received runs for each message, in order.
+	Received func(R)
+	Meter    *Meter
+}
+
+// Client keeps a connection to one of a list of addresses. Each time it dials
+// it goes on to the next address.
+type Client[S, R any] struct {
+	urls []string
+	next int
+	opts Options[S, R]
+	mu   sync.Mutex
+	conn *Conn[S, R]
+}
+
+// NewClient returns a client that connects to one address until ctx ends.
+func NewClient[S, R any](ctx context.Context, addr, path string, opts Options[S, R]) *Client[S, R] {
+	return NewRotating(ctx, []string{addr}, path, opts)
+}
+
+// NewRotating returns a client that connects to one of several addresses until
+// ctx ends. There must be at least one address.
+func NewRotating[S, R any](ctx context.Context, addrs []string, path string, opts Options[S, R]) *Client[S, R] {
+	c := &Client[S, R]{opts: opts}
+	for _, addr := range addrs {
+		c.urls = append(c.urls, "ws://"+addr+path)
+	}
+	go c.run(ctx)
+	return c
+}
+
+// Send queues a message, or reports false when there is no connection.
+func (c *Client[S, R]) Send(m S) bool {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	return conn != nil && conn.Send(m)
+}
+
+// Connected reports whether there is a connection now.
+func (c *Client[S, R]) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
+// Reset drops the present connection; the client dials again.
+func (c *Client[S, R]) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.Close()
+	}
+}
+
+func (c *Client[S, R]) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		conn, err := dial[S, R](ctx, c.urls[c.next%len(c.urls)], c.opts.Meter)
+		c.next++
+		if err == nil {
+			c.serve(conn)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+func dial[S, R any](ctx context.Context, url string, meter *Meter) (*Conn[S, R], error) {
+	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	ws, _, err := websocket.Dial(dctx, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", url, err)
+	}
+	return newConn[S, R](ctx, ws, meter), nil
+}
+
+func (c *Client[S, R]) serve(conn *Conn[S, R]) {
+	c.setConn(conn)
+	defer c.setConn(nil)
+	defer conn.Close()
+	if c.opts.Opened != nil {
+		c.opts.Opened(conn)
+	}
+	for m := range conn.Messages() {
+		if c.opts.Received != nil {
+			c.opts.Received(m)
+		}
+	}
+}
+
+func (c *Client[S, R]) setConn(conn *Conn[S, R]) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,42 @@
+// Package logs sets up the program's structured log: one line of key=value
+// pairs for each event. The message of a line is the event's stable name.
+//
+//	log := logs.New(os.Stderr, "info").WithField("instance", "entry-1")
+//	log.WithField("version", 12).Info("configurationApplied")
+package logs
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// New returns a logger that writes lines at or above the level to w. An unknown
+// level is an error.
+func New(w io.Writer, level string) (*logrus.Entry, error) {
+	if level == "" {
+		level = "info"
+	}
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(l)
+	logger.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+		FieldMap:        logrus.FieldMap{logrus.FieldKeyMsg: "event"},
+	})
+	return logrus.NewEntry(logger), nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
--- /dev/null
+++ b/io/proto/proto.go
@@ -0,0 +1,141 @@
+// Package proto defines the messages between the system's own processes. They
+// travel as CBOR in WebSocket (package links).
+//
+// An entry instance opens one link to a control replica (ToControl, ToEntry).
+// Control replicas link to each other (ToReplica), and entry instances to each
+// other (ToPeer). Exactly one field of a message is set.
+package proto
+
+import (
+	"boragepost/core/claim"
+	"boragepost/core/flow"
+	"boragepost/core/leader"
+	"boragepost/core/model"
+	"boragepost/core/quorum"
+	"boragepost/core/shard"
+)
+
+// Paths of the links' endpoints.
+const (
+	EntryPath   = "/links/entry"
+	ReplicaPath = "/links/replica"
+	PeerPath    = "/links/peer"
+)
+
+// ToControl is a message from an entry instance to a control replica.
+type ToControl struct {
+	Hello    *Hello           `cbor:"1,keyasint,omitempty"`
+	Beat     *Beat            `cbor:"2,keyasint,omitempty"`
+	Announce *Announce        `cbor:"3,keyasint,omitempty"`
+	Renew    []model.ServerID `cbor:"4,keyasint,omitempty"`
+}
+
+// Hello opens a link. The control replica continues after Applied.
+type Hello struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	Applied  uint64           `cbor:"2,keyasint"`
+}
+
+// Beat is a heartbeat. Seq comes back in the grant.
+type Beat struct {
+	Seq  uint64      `cbor:"1,keyasint"`
+	Beat leader.Beat `cbor:"2,keyasint"`
+}
+
+// Announce passes on what a backend server announced. ID comes back in the
+// answer.
+type Announce struct {
+	ID     uint64              `cbor:"1,keyasint"`
+	Server model.BackendServer `cbor:"2,keyasint"`
+}
+
+// ToEntry is a message from a control replica to an entry instance.
+type ToEntry struct {
+	// Snapshot is a routing snapshot (state.RestoreRouting).
+	Snapshot  []byte     `cbor:"1,keyasint,omitempty"`
+	Commands  []Applied  `cbor:"2,keyasint,omitempty"`
+	Grant     *Grant     `cbor:"3,keyasint,omitempty"`
+	Announced *Announced `cbor:"4,keyasint,omitempty"`
+}
+
+// Applied is a committed command with its log index.
+type Applied struct {
+	Index   uint64        `cbor:"1,keyasint"`
+	Command model.Command `cbor:"2,keyasint"`
+}
+
+// Grant answers a heartbeat.
+type Grant struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Commit is the leader's commit index. The lease holds only for an
+	// instance that has applied it.
+	Commit uint64 `cbor:"2,keyasint"`
+	// LeaseMs is the duration of the lease from the sending of the heartbeat,
+	// in milliseconds; 0 refuses it.
+	LeaseMs int64 `cbor:"3,keyasint"`
+}
+
+// Announced answers an announcement.
+type Announced struct {
+	ID     uint64       `cbor:"1,keyasint"`
+	Result model.Result `cbor:"2,keyasint"`
+	Error  string       `cbor:"3,keyasint,omitempty"`
+}
+
+// ToReplica is a message between control replicas.
+type ToReplica struct {
+	Quorum  *quorum.Message `cbor:"1,keyasint,omitempty"`
+	Forward *Forward        `cbor:"2,keyasint,omitempty"`
+	Reply   *Reply          `cbor:"3,keyasint,omitempty"`
+}
+
+// Forward passes a request on to the leader.
+type Forward struct {
+	ID      uint64           `cbor:"1,keyasint"`
+	From    string           `cbor:"2,keyasint"`
+	Command *model.Command   `cbor:"3,keyasint,omitempty"`
+	Beat    *leader.Beat     `cbor:"4,keyasint,omitempty"`
+	Renew   []model.ServerID `cbor:"5,keyasint,omitempty"`
+	Status  bool             `cbor:"6,keyasint,omitempty"`
+}
+
+// Reply answers a Forward.
+type Reply struct {
+	ID     uint64        `cbor:"1,keyasint"`
+	Result *model.Result `cbor:"2,keyasint,omitempty"`
+	Grant  *Grant        `cbor:"3,keyasint,omitempty"`
+	Status *Status       `cbor:"4,keyasint,omitempty"`
+	Error  string        `cbor:"5,keyasint,omitempty"`
+}
+
+// Status is the leader's knowledge of the whole deployment.
+type Status struct {
+	Leader string                       `json:"leader" cbor:"1,keyasint"`
+	Term   uint64                       `json:"term" cbor:"2,keyasint"`
+	Commit uint64                       `json:"resourceVersion" cbor:"3,keyasint"`
+	Zones  map[string]leader.ZoneStatus `json:"zones" cbor:"4,keyasint"`
+}
+
+// ToPeer is a message between entry instances.
+type ToPeer struct {
+	From    model.InstanceID                        `cbor:"1,keyasint"`
+	Flow    *shard.Message[flow.Key, flow.Record]   `cbor:"2,keyasint,omitempty"`
+	Claim   *shard.Message[claim.Key, claim.Record] `cbor:"3,keyasint,omitempty"`
+	Fetch   *Fetch                                  `cbor:"4,keyasint,omitempty"`
+	Fetched *Fetched                                `cbor:"5,keyasint,omitempty"`
+}
+
+// Fetch asks a record keeper for the exceptions of a service in one shard.
+type Fetch struct {
+	Service string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Shard   int    `cbor:"3,keyasint"`
+}
+
+// Fetched answers a Fetch. Ready is false when the receiver does not serve the
+// shard at that version.
+type Fetched struct {
+	Fetch   Fetch                       `cbor:"1,keyasint"`
+	Ready   bool                        `cbor:"2,keyasint"`
+	Records map[flow.Key]model.ServerID `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/io/scene/scene_test.go
@@ -0,0 +1,210 @@
+package scene_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"boragepost/io/conf"
+	"boragepost/io/demo"
+	"boragepost/io/scene"
+)
+
+// programs are built once for all scripts.
+var programs scene.Programs
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "boragepost-scene-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = scene.Programs{
+		Boragepost: filepath.Join(dir, "boragepost"), Standin: filepath.Join(dir, "standin")}
+	for path, pkg := range map[string]string{
+		programs.Boragepost: "boragepost/cmd/boragepost", programs.Standin: "boragepost/cmd/standin",
+	} {
+		if out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v: %s\n", pkg, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// TestScenarios runs the scripts of testdata, one after another, because each
+// starts some thirty processes.
+func TestScenarios(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		t.Run(filepath.Base(script), func(t *testing.T) {
+			testscript.RunT(sequential{t}, testscript.Params{
+				Files: []string{script}, Setup: setup, Cmds: commands,
+			})
+		})
+	}
+}
+
+// sequential keeps testscript from running scripts in parallel.
+type sequential struct{ *testing.T }
+
+// Parallel implements testscript.T.
+func (sequential) Parallel() {}
+
+// Run implements testscript.T.
+func (s sequential) Run(name string, f func(testscript.T)) {
+	s.T.Run(name, func(t *testing.T) { f(sequential{t}) })
+}
+
+// Verbose implements testscript.T.
+func (sequential) Verbose() bool { return testing.Verbose() }
+
+// Skip, Fatal and FailNow are those of testing.T.
+var _ testscript.T = sequential{}
+
+const sceneKey = "scene"
+
+func setup(env *testscript.Env) error {
+	s, err := scene.New(env.WorkDir, 1, programs)
+	if err != nil {
+		return err
+	}
+	env.Values[sceneKey] = s
+	env.Defer(s.Close)
+	return nil
+}
+
+func current(ts *testscript.TestScript) *scene.Scene { return ts.Value(sceneKey).(*scene.Scene) }
+
+// commands is the scenario language, beside testscript's own commands.
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	// start PATTERN... starts processes.
+	"start": each(func(s *scene.Scene, name string) error { return s.Start(name) }),
+	// ready PATTERN... waits until processes are ready.
+	"ready": each(func(s *scene.Scene, name string) error {
+		if !scene.Wait(20*time.Second, func() bool { return s.IsReady(name) }) {
+			return fmt.Errorf("%s did not become ready", name)
+		}
+		return nil
+	}),
+	// shutdown PATTERN... ends processes gracefully.
+	"shutdown": each(func(s *scene.Scene, name string) error { return s.Stop(name, 20*time.Second) }),
+	"crash":    signal(syscall.SIGKILL),
+	"freeze":   signal(syscall.SIGSTOP),
+	"thaw":     signal(syscall.SIGCONT),
+	// apply FILE creates or replaces the services of a file.
+	"apply": func(ts *testscript.TestScript, _ bool, args []string) {
+		services, err := conf.LoadServices(ts.MkAbs(args[0]))
+		ts.Check(err)
+		for _, svc := range services {
+			_, err := current(ts).API.PutService(context.Background(), svc, ^uint64(0))
+			ts.Check(err)
+		}
+	},
+	// drain SERVICE SERVER lets a backend server leave.
+	"drain": func(ts *testscript.TestScript, _ bool, args []string) {
+		_, err := current(ts).API.Drain(context.Background(), args[0], args[1])
+		ts.Check(err)
+	},
+	// servers N waits until N backend servers are announced.
+	"servers": func(ts *testscript.TestScript, _ bool, args []string) {
+		want := number(ts, args[0])
+		ok := scene.Wait(20*time.Second, func() bool {
+			list, err := current(ts).API.Servers(context.Background())
+			return err == nil && float64(len(list.Items)) == want
+		})
+		if !ok {
+			ts.Fatalf("not %v backend servers", want)
+		}
+	},
+	// sleep DURATION lets time pass.
+	"sleep": func(ts *testscript.TestScript, _ bool, args []string) {
+		d, err := time.ParseDuration(args[0])
+		ts.Check(err)
+		time.Sleep(d)
+	},
+	// flows FIELD min|max N and orders FIELD min|max N check a caller's report.
+	"flows": check(func(s *scene.Scene) (any, error) { return s.Flows() }),
+	"orders": check(func(s *scene.Scene) (any, error) {
+		return s.Orders()
+	}),
+	// harmless checks that nothing that must never happen has happened.
+	"harmless": func(ts *testscript.TestScript, _ bool, _ []string) {
+		s := current(ts)
+		flows, err := s.Flows()
+		ts.Check(err)
+		orders, err := s.Orders()
+		ts.Check(err)
+		ledgers, err := s.Ledgers()
+		ts.Check(err)
+		r := demo.Report{BrokenFlows: flows.Broken, Crossed: flows.Crossed + orders.Crossed, Lost: orders.Lost}
+		r.Audit(ledgers, orders)
+		ts.Logf("flows %+v", flows)
+		ts.Logf("requests=%d answered=%d notRun=%d unknown=%d", orders.Requests, orders.Answered, orders.NotRun, orders.Unknown)
+		if r.Harm() > 0 {
+			ts.Fatalf("harm: %+v, broken for %v", r, flows.Reasons)
+		}
+	},
+}
+
+func each(f func(*scene.Scene, string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		for _, pattern := range args {
+			names := current(ts).Names(pattern)
+			if len(names) == 0 {
+				ts.Fatalf("no process matches %s", pattern)
+			}
+			for _, name := range names {
+				ts.Check(f(current(ts), name))
+			}
+		}
+	}
+}
+
+func signal(sig syscall.Signal) func(*testscript.TestScript, bool, []string) {
+	return each(func(s *scene.Scene, name string) error { return s.Signal(name, sig) })
+}
+
+// check compares a field of a report once it has had time to reach the bound.
+func check(report func(*scene.Scene) (any, error)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		if len(args) != 3 {
+			ts.Fatalf("usage: FIELD min|max N")
+		}
+		bound := number(ts, args[2])
+		var got float64
+		ok := scene.Wait(15*time.Second, func() bool {
+			r, err := report(current(ts))
+			if err != nil {
+				return false
+			}
+			got, err = scene.Field(r, args[0])
+			return err == nil && (args[1] == "min" && got >= bound || args[1] == "max" && got <= bound)
+		})
+		if !ok {
+			ts.Fatalf("%s is %v, want %s %v", args[0], got, args[1], bound)
+		}
+	}
+}
+
+func number(ts *testscript.TestScript, text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	ts.Check(err)
+	return v
+}
--- /dev/null
+++ b/io/stand/server.go
@@ -0,0 +1,282 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"boragepost/io/entry"
+)
+
+// ServerConfig describes a backend server.
+type ServerConfig struct {
+	Name    string `yaml:"name"`
+	Service string `yaml:"service"`
+	Zone    string `yaml:"zone"`
+	// Address is the service's address, the only one whose packets belong here.
+	Address netip.AddrPort `yaml:"address"`
+	Packets netip.AddrPort `yaml:"packets"`
+	HTTP    netip.AddrPort `yaml:"http"`
+	// Announce lists the peer endpoints of entry instances.
+	Announce []netip.AddrPort `yaml:"announce"`
+	Slots    int              `yaml:"slots"`
+	// Queue is the number of requests that wait for a slot before more are
+	// shed.
+	Queue       int           `yaml:"queue"`
+	Weight      int           `yaml:"weight"`
+	ShortTime   time.Duration `yaml:"shortTime"`
+	LongTime    time.Duration `yaml:"longTime"`
+	ColdTime    time.Duration `yaml:"coldTime"` // extra time of each request in the first seconds
+	Incarnation uint64        `yaml:"incarnation"`
+	Seed        uint64        `yaml:"seed"`
+}
+
+const (
+	announceInterval = time.Second
+	coldPeriod       = 3 * time.Second
+	longPrefix       = "/long"
+)
+
+// Ledger is what a backend server saw, by its own count.
+type Ledger struct {
+	Server       string         `json:"server"`
+	Service      string         `json:"service"`
+	Runs         map[string]int `json:"runs"` // by idempotency key
+	Flows        int            `json:"flows"`
+	NewFlowAt    int64          `json:"newFlowAtUnixMs"` // time of the latest new flow
+	Packets      int            `json:"packets"`
+	Misdelivered int            `json:"misdelivered"`
+	Strays       int            `json:"strays"` // packets of flows unknown here
+	Shed         int            `json:"shed"`
+	Running      int            `json:"running"`
+}
+
+// Server is a running backend server.
+type Server struct {
+	cfg    ServerConfig
+	conn   *net.UDPConn
+	slots  chan struct{}
+	mu     sync.Mutex
+	flows  map[netip.AddrPort]uint64 // cookie by caller
+	ledger Ledger
+	queued int
+	start  time.Time
+	random *rand.Rand
+}
+
+// StartServer runs a backend server until ctx ends.
+func StartServer(ctx context.Context, cfg ServerConfig) (*Server, error) {
+	conn, err := listenUDP(ctx, cfg.Packets)
+	if err != nil {
+		return nil, fmt.Errorf("start backend server %s: %w", cfg.Name, err)
+	}
+	l, err := net.Listen("tcp", cfg.HTTP.String())
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("start backend server %s: %w", cfg.Name, err)
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixNano())
+	}
+	s := &Server{
+		cfg: cfg, conn: conn, slots: make(chan struct{}, max(cfg.Slots, 1)),
+		flows: map[netip.AddrPort]uint64{}, start: time.Now(),
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
+		ledger: Ledger{Server: cfg.Name, Service: cfg.Service, Runs: map[string]int{}},
+	}
+	h := &http.Server{Handler: s.routes()}
+	context.AfterFunc(ctx, func() { h.Close() })
+	go h.Serve(l)
+	go s.receive()
+	go s.announce(ctx)
+	return s, nil
+}
+
+// Ledger returns a copy of what the server has seen.
+func (s *Server) Ledger() Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.ledger
+	out.Flows = len(s.flows)
+	out.Runs = make(map[string]int, len(s.ledger.Runs))
+	for k, n := range s.ledger.Runs {
+		out.Runs[k] = n
+	}
+	return out
+}
+
+func (s *Server) receive() {
+	buf := make([]byte, datagramSize)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		seg, err := decodeSegment(buf[:n])
+		if err != nil {
+			continue
+		}
+		reply := s.handle(seg)
+		data, err := reply.encode()
+		if err == nil {
+			s.answer(seg.payload.Reply, data)
+		}
+	}
+}
+
+// answer sends a packet straight to the caller.
+func (s *Server) answer(port uint16, data []byte) {
+	s.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(loopback, port))
+}
+
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// handle keeps the flow's state, as a TCP stack does, and returns the answer.
+func (s *Server) handle(seg segment) segment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Packets++
+	reply := segment{from: seg.to, to: seg.from, ack: true, udp: seg.udp,
+		payload: payload{Seq: seg.payload.Seq, Server: s.cfg.Name}}
+	if seg.to != s.cfg.Address {
+		s.ledger.Misdelivered++
+		reply.rst = true
+		return reply
+	}
+	cookie, known := s.flows[seg.from]
+	starts := seg.syn || seg.udp && seg.payload.Seq == 0
+	switch {
+	case starts && !known:
+		cookie = s.random.Uint64() | 1
+		s.flows[seg.from] = cookie
+		s.ledger.NewFlowAt = time.Now().UnixMilli()
+	case !known:
+		s.ledger.Strays++
+		reply.rst = true
+		return reply
+	}
+	if seg.fin {
+		delete(s.flows, seg.from)
+		reply.fin = true
+	}
+	reply.syn = seg.syn
+	reply.payload.Cookie = cookie
+	return reply
+}
+
+// announce posts the server's announcement to one entry instance after another.
+func (s *Server) announce(ctx context.Context) {
+	client := &http.Client{Timeout: announceInterval}
+	body, _ := json.Marshal(entry.Announcement{
+		Service: s.cfg.Service, Name: s.cfg.Name, Zone: s.cfg.Zone, Packets: s.cfg.Packets, HTTP: s.cfg.HTTP,
+		Slots: s.cfg.Slots, Weight: s.cfg.Weight, Incarnation: s.cfg.Incarnation,
+	})
+	next := int(s.cfg.Seed)
+	for ctx.Err() == nil {
+		wait := announceInterval
+		if !post(ctx, client, s.cfg.Announce[next%len(s.cfg.Announce)], body) {
+			wait /= 10
+		}
+		next++
+		sleep(ctx, wait)
+	}
+}
+
+func post(ctx context.Context, client *http.Client, to netip.AddrPort, body []byte) bool {
+	url := "http://" + to.String() + "/v1/announce"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(map[string]any{
+			"service": s.cfg.Service, "name": s.cfg.Name, "incarnation": s.cfg.Incarnation})
+	})
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(map[string]int{"running": len(s.slots)})
+	})
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(s.Ledger())
+	})
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+// work runs a request in a slot. The answer repeats the request's key, so that
+// the caller can tell whose answer it is.
+func (s *Server) work(w http.ResponseWriter, req *http.Request) {
+	if !s.enter(req.Context()) {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	key := req.Header.Get("Idempotency-Key")
+	body, _ := io.ReadAll(req.Body)
+	s.mu.Lock()
+	s.ledger.Runs[key]++
+	s.mu.Unlock()
+	sleep(req.Context(), s.serviceTime(req))
+	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+	fmt.Fprintf(w, "%s %s ran %s %s\n", s.cfg.Service, s.cfg.Name, key, body)
+}
+
+func (s *Server) serviceTime(req *http.Request) time.Duration {
+	d := s.cfg.ShortTime
+	if strings.HasPrefix(req.URL.Path, longPrefix) {
+		d = s.cfg.LongTime
+	}
+	if time.Since(s.start) < coldPeriod {
+		d += s.cfg.ColdTime
+	}
+	return d
+}
+
+// enter takes a slot, waiting in a bounded queue. It reports false when the
+// request is shed or the caller has left.
+func (s *Server) enter(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	s.mu.Lock()
+	if s.queued >= s.cfg.Queue {
+		s.ledger.Shed++
+		s.mu.Unlock()
+		return false
+	}
+	s.queued++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.queued--
+		s.mu.Unlock()
+	}()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,333 @@
+// Package store keeps a control replica's log and snapshot on disk.
+//
+// The data folder holds two files. The file log is a sequence of records, each
+// with a checksum over its header and one over its contents; one Save is one
+// record and is synced before it returns. The file snapshot holds the latest
+// snapshot and replaces the log before it.
+//
+// A record that a crash cut off can only be the last one; Open drops it. A bad
+// record with a good one after it means that the disk has changed what was
+// synced; Open refuses the folder with a *CorruptError.
+//
+// # Usage
+//
+//	s, saved, err := store.Open(dir)
+//	err = s.Save(hard, entries)
+//	err = s.SaveSnapshot(snapshot, hard, tail)
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"boragepost/core/quorum"
+)
+
+const (
+	logName      = "log"
+	snapshotName = "snapshot"
+	lockName     = "lock"
+
+	headerBytes = 16 // magic, length, contents checksum, header checksum
+	magic       = 0x62706c31
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// CorruptError says that synced data has changed on disk.
+type CorruptError struct {
+	File   string
+	Offset int64
+}
+
+var _ error = (*CorruptError)(nil)
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s: bad checksum at offset %d with good records after it; "+
+		"move the data folder away to let this replica recover from the others", e.File, e.Offset)
+}
+
+// record is the contents of one log record.
+type record struct {
+	Hard    *quorum.Hard   `cbor:"1,keyasint,omitempty"`
+	Entries []quorum.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// file is what a Store needs of a file; tests replace it to cause write errors.
+type file interface {
+	io.Writer
+	Sync() error
+	Close() error
+	Truncate(size int64) error
+}
+
+var _ file = (*os.File)(nil)
+
+// Store is an open data folder. It belongs to one goroutine.
+type Store struct {
+	dir  string
+	log  file
+	size int64
+	lock *os.File
+}
+
+// Open opens a data folder, creating it if needed, and returns what it holds. It
+// returns a *CorruptError for damaged data, and an error when another process
+// has the folder open.
+func Open(dir string) (*Store, quorum.Saved, error) {
+	var saved quorum.Saved
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, saved, fmt.Errorf("create data folder: %w", err)
+	}
+	lock, err := lockFolder(filepath.Join(dir, lockName))
+	if err != nil {
+		return nil, saved, fmt.Errorf("lock data folder: %w", err)
+	}
+	s := &Store{dir: dir, lock: lock}
+	if err := s.load(&saved); err != nil {
+		lock.Close()
+		return nil, quorum.Saved{}, err
+	}
+	return s, saved, nil
+}
+
+func (s *Store) load(saved *quorum.Saved) error {
+	if err := s.readSnapshot(&saved.Snapshot); err != nil {
+		return fmt.Errorf("read snapshot: %w", err)
+	}
+	path := filepath.Join(s.dir, logName)
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("read log: %w", err)
+	}
+	good, err := scan(path, data, func(payload []byte) error { return replay(payload, saved) })
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	saved.Entries = after(saved.Entries, saved.Snapshot.Index)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	s.log, s.size = f, good
+	if good < int64(len(data)) {
+		if err := f.Truncate(good); err != nil {
+			return fmt.Errorf("drop torn record: %w", err)
+		}
+	}
+	return s.syncFolder()
+}
+
+// Close closes the data folder.
+func (s *Store) Close() error {
+	err := s.log.Close()
+	if lockErr := s.lock.Close(); err == nil {
+		err = lockErr
+	}
+	return err
+}
+
+// Save makes a hard state, if set, and entries durable. After an error the file
+// is as it was before the call, or the error says that it is not.
+func (s *Store) Save(hard *quorum.Hard, entries []quorum.Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	data, err := frame(record{Hard: hard, Entries: entries})
+	if err != nil {
+		return err
+	}
+	if err := s.write(data); err != nil {
+		if undo := s.log.Truncate(s.size); undo != nil {
+			return fmt.Errorf("append to log: %w; cannot undo: %w", err, undo)
+		}
+		return fmt.Errorf("append to log: %w", err)
+	}
+	s.size += int64(len(data))
+	return nil
+}
+
+func (s *Store) write(data []byte) error {
+	if _, err := s.log.Write(data); err != nil {
+		return err
+	}
+	return s.log.Sync()
+}
+
+// SaveSnapshot makes a snapshot durable and starts a new log with the hard state
+// and the entries after the snapshot.
+func (s *Store) SaveSnapshot(snap quorum.Snapshot, hard quorum.Hard, tail []quorum.Entry) error {
+	data, err := frame(snap)
+	if err != nil {
+		return err
+	}
+	if err := s.replace(snapshotName, data); err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	data, err = frame(record{Hard: &hard, Entries: after(tail, snap.Index)})
+	if err != nil {
+		return err
+	}
+	if err := s.replace(logName, data); err != nil {
+		return fmt.Errorf("start new log: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(s.dir, logName), os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("open new log: %w", err)
+	}
+	s.log.Close()
+	s.log, s.size = f, int64(len(data))
+	return nil
+}
+
+// replace puts a synced file with the given contents in the place of another.
+func (s *Store) replace(name string, data []byte) error {
+	path := filepath.Join(s.dir, name)
+	tmp, err := os.OpenFile(path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("create temporary file: %w", err)
+	}
+	_, err = tmp.Write(data)
+	if err == nil {
+		err = tmp.Sync()
+	}
+	if closeErr := tmp.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return fmt.Errorf("write temporary file: %w", err)
+	}
+	if err := os.Rename(path+".tmp", path); err != nil {
+		return fmt.Errorf("replace file: %w", err)
+	}
+	return s.syncFolder()
+}
+
+func (s *Store) syncFolder() error {
+	d, err := os.Open(s.dir)
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) readSnapshot(snap *quorum.Snapshot) error {
+	path := filepath.Join(s.dir, snapshotName)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	payload, size := unframe(data)
+	if size != len(data) {
+		return &CorruptError{File: path}
+	}
+	return cbor.Unmarshal(payload, snap)
+}
+
+// replay applies one log record to what has been read so far.
+func replay(payload []byte, saved *quorum.Saved) error {
+	var r record
+	if err := cbor.Unmarshal(payload, &r); err != nil {
+		return fmt.Errorf("decode record: %w", err)
+	}
+	if r.Hard != nil {
+		saved.Hard = *r.Hard
+	}
+	if len(r.Entries) > 0 {
+		saved.Entries = append(before(saved.Entries, r.Entries[0].Index), r.Entries...)
+	}
+	return nil
+}
+
+// before returns the entries below an index.
+func before(entries []quorum.Entry, index uint64) []quorum.Entry {
+	for len(entries) > 0 && entries[len(entries)-1].Index >= index {
+		entries = entries[:len(entries)-1]
+	}
+	return entries
+}
+
+// after returns the entries above an index.
+func after(entries []quorum.Entry, index uint64) []quorum.Entry {
+	for len(entries) > 0 && entries[0].Index <= index {
+		entries = entries[1:]
+	}
+	return entries
+}
+
+func frame(v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	data := make([]byte, headerBytes, headerBytes+len(payload))
+	binary.BigEndian.PutUint32(data[0:], magic)
+	binary.BigEndian.PutUint32(data[4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(data[8:], crc32.Checksum(payload, castagnoli))
+	binary.BigEndian.PutUint32(data[12:], crc32.Checksum(data[:12], castagnoli))
+	return append(data, payload...), nil
+}
+
+// unframe returns the contents and the whole size of the record at the start of
+// data, or a size of 0 when there is no good record.
+func unframe(data []byte) (payload []byte, size int) {
+	if len(data) < headerBytes || binary.BigEndian.Uint32(data) != magic {
+		return nil, 0
+	}
+	if binary.BigEndian.Uint32(data[12:]) != crc32.Checksum(data[:12], castagnoli) {
+		return nil, 0
+	}
+	length := int(binary.BigEndian.Uint32(data[4:]))
+	if length > len(data)-headerBytes {
+		return nil, 0
+	}
+	payload = data[headerBytes : headerBytes+length]
+	if binary.BigEndian.Uint32(data[8:]) != crc32.Checksum(payload, castagnoli) {
+		return nil, 0
+	}
+	return payload, headerBytes + length
+}
+
+// scan calls f for each good record and returns the size of the good part.
+func scan(path string, data []byte, f func([]byte) error) (int64, error) {
+	offset := 0
+	for offset < len(data) {
+		payload, size := unframe(data[offset:])
+		if size == 0 {
+			if hasRecord(data[offset+1:]) {
+				return 0, &CorruptError{File: path, Offset: int64(offset)}
+			}
+			break
+		}
+		if err := f(payload); err != nil {
+			return 0, fmt.Errorf("record at offset %d: %w", offset, err)
+		}
+		offset += size
+	}
+	return int64(offset), nil
+}
+
+// hasRecord reports whether a good record starts anywhere in data.
+func hasRecord(data []byte) bool {
+	for i := 0; i+headerBytes <= len(data); i++ {
+		if _, size := unframe(data[i:]); size > 0 {
+			return true
+		}
+	}
+	return false
+}
