Index the state, compact the tables, and measure capacity

Cause: an announcement sorted all backend servers of the deployment, and a bucket took 24 bytes whether or not it had ever moved. At the size to design for a region has 12,222 backend servers.

Ruled out: a larger minimum of buckets a server, which makes the table larger and not the command cheaper.

Change: backend servers are indexed by service and by address; a table holds an owner a bucket, and the rest only for buckets that move or have exceptions.

--- a/cmd/boragepost/main.go
+++ b/cmd/boragepost/main.go
@@ -27,6 +27,7 @@
 	addRoles(app, commands)
 	addResources(app, commands)
 	addDemo(app, commands)
+	addMeasure(app, commands)
 	app.Command("version", "Print the version.")
 	commands["version"] = func(context.Context) error {
 		fmt.Println("boragepost", version)
--- a/core/flow/balancer.go
+++ b/core/flow/balancer.go
@@ -164,6 +164,7 @@
 
 // known forwards a packet of a flow that the instance remembers.
 func (b *Balancer) known(now int64, route *Route, s *stripe, key Key, r tracked, h Header) Verdict {
+	before := r
 	r.seen = uint32(now / int64(time.Second))
 	if h.Finish {
 		r.flags |= flagFinished
@@ -179,13 +180,15 @@
 		v.Report = true
 		v.Question = Record{Route: route.ID, Server: r.server, UDP: h.Protocol == UDP}
 	}
-	b.flows.put(s, key, r)
+	if r != before {
+		b.flows.put(s, key, r)
+	}
 	return v
 }
 
 // unknown decides on a packet of a flow that the instance does not remember.
 func (b *Balancer) unknown(now int64, route *Route, s *stripe, key Key, h Header) Verdict {
-	if len(route.Table.Buckets) == 0 {
+	if route.Table.Len() == 0 {
 		return Verdict{Reason: NoServer, Key: key}
 	}
 	leased := b.HasLease(now)
--- a/core/flow/change.go
+++ b/core/flow/change.go
@@ -81,9 +81,9 @@
 	f := Fetch{Service: r.Service, Version: version}
 	seen := map[int]bool{}
 	fetched := r.fetched.Load()
-	for i, b := range r.Table.Buckets {
-		settled := b.Stage == table.Closing || b.Stage == table.Closed
-		if !settled || b.Since <= fetched || seen[shardOf(i)] {
+	for i, m := range r.Table.Moves {
+		settled := m.Stage == table.Closing || m.Stage == table.Closed
+		if !settled || m.Since <= fetched || seen[shardOf(i)] {
 			continue
 		}
 		seen[shardOf(i)] = true
--- a/core/flow/keeper.go
+++ b/core/flow/keeper.go
@@ -32,7 +32,7 @@
 // Decide implements the Decide field of a shard.Config for flows.
 func (k Keeper) Decide(key Key, ask, old Record, exists bool) (Record, bool) {
 	route := k.View().byID[ask.Route]
-	if route == nil || len(route.Table.Buckets) == 0 {
+	if route == nil || route.Table.Len() == 0 {
 		return Record{}, false
 	}
 	if exists && route.lives(old.Server) {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -86,7 +86,7 @@
 		s.services[v.Name] = v
 	}
 	for _, v := range im.Servers {
-		s.servers[v.ID] = v
+		s.servers.put(v)
 	}
 	for _, v := range im.Members {
 		s.members[v.ID] = v
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -30,7 +30,7 @@
 	index    uint64
 	nextID   model.ServerID
 	services map[string]model.Service
-	servers  map[model.ServerID]model.BackendServer
+	servers  servers
 	members  map[model.InstanceID]model.Instance
 	tables   map[string]table.Table
 	retired  map[netip.AddrPort]retired
@@ -45,7 +45,7 @@
 	return &State{
 		nextID:   1,
 		services: map[string]model.Service{},
-		servers:  map[model.ServerID]model.BackendServer{},
+		servers:  newServers(),
 		members:  map[model.InstanceID]model.Instance{},
 		tables:   map[string]table.Table{},
 		retired:  map[netip.AddrPort]retired{},
@@ -69,13 +69,21 @@
 
 // Server returns a backend server by identifier.
 func (s *State) Server(id model.ServerID) (model.BackendServer, bool) {
-	v, ok := s.servers[id]
+	v, ok := s.servers.byID[id]
 	return v, ok
 }
 
 // Servers returns all backend servers by identifier.
 func (s *State) Servers() []model.BackendServer {
-	return sortedBy(s.servers, func(v model.BackendServer) model.ServerID { return v.ID })
+	return sortedBy(s.servers.byID, func(v model.BackendServer) model.ServerID { return v.ID })
+}
+
+// ServersOf returns the backend servers of a service by identifier.
+func (s *State) ServersOf(service string) []model.BackendServer { return s.servers.of(service) }
+
+// ServerAt returns the backend server that receives packets at an address.
+func (s *State) ServerAt(packets netip.AddrPort) (model.BackendServer, bool) {
+	return s.servers.at(packets)
 }
 
 // Instances returns all entry instances by identifier.
@@ -215,10 +223,8 @@
 	}
 	delete(s.services, del.Name)
 	delete(s.tables, del.Name)
-	for _, b := range s.Servers() {
-		if b.Service == del.Name {
-			s.retire(b, c.Time)
-		}
+	for _, b := range s.ServersOf(del.Name) {
+		s.retire(b, c.Time)
 	}
 	return model.Result{Generation: old.Generation}
 }
@@ -229,22 +235,20 @@
 		return model.Result{Failure: &model.Conflict{
 			Reason: model.ReasonNotFound, Message: "service/" + b.Service + " does not exist"}}
 	}
-	for _, old := range s.Servers() {
-		if old.SameIdentity(b) {
-			return model.Result{ServerID: old.ID}
-		}
+	if old, ok := s.ServerAt(b.Packets); ok && old.SameIdentity(b) {
+		return model.Result{ServerID: old.ID}
 	}
 	if failure := s.checkAnnounce(b, c.Time); failure != nil {
 		return model.Result{Failure: failure}
 	}
-	for _, old := range s.Servers() {
-		if old.Service == b.Service && (old.Name == b.Name || old.Packets == b.Packets) {
-			delete(s.servers, old.ID)
+	for _, old := range s.ServersOf(b.Service) {
+		if old.Name == b.Name || old.Packets == b.Packets {
+			s.servers.remove(old)
 		}
 	}
 	b.ID = s.nextID
 	s.nextID++
-	s.servers[b.ID] = b.WithPhase(model.Active, index)
+	s.servers.put(b.WithPhase(model.Active, index))
 	s.record(c, "announce", "backendServer/"+b.Service+"/"+b.Name, 0, uint64(b.ID), nil)
 	s.rebalance(b.Service, index)
 	return model.Result{ServerID: b.ID}
@@ -253,15 +257,15 @@
 // checkAnnounce refuses an announcement that would take an address away from
 // another service, or that an older incarnation sent late.
 func (s *State) checkAnnounce(b model.BackendServer, now int64) *model.Conflict {
-	for _, old := range s.servers {
-		if old.Service == b.Service && old.Name == b.Name && old.Incarnation > b.Incarnation {
+	for _, old := range s.ServersOf(b.Service) {
+		if old.Name == b.Name && old.Incarnation > b.Incarnation {
 			return &model.Conflict{Reason: model.ReasonConflict,
 				Message: "a later incarnation of " + b.Name + " is announced"}
 		}
-		if old.Service != b.Service && old.Packets == b.Packets {
-			return &model.Conflict{Reason: model.ReasonConflict,
-				Message: fmt.Sprintf("address %v is in use by service/%s", b.Packets, old.Service)}
-		}
+	}
+	if old, ok := s.ServerAt(b.Packets); ok && old.Service != b.Service {
+		return &model.Conflict{Reason: model.ReasonConflict,
+			Message: fmt.Sprintf("address %v is in use by service/%s", b.Packets, old.Service)}
 	}
 	last, ok := s.retired[b.Packets]
 	if ok && last.Service != b.Service && now < last.Until {
@@ -276,7 +280,7 @@
 // no instance with old state can send packets of the old service to a backend
 // server of another one.
 func (s *State) retire(b model.BackendServer, now int64) {
-	delete(s.servers, b.ID)
+	s.servers.remove(b)
 	s.retired[b.Packets] = retired{Service: b.Service, Until: now + Quarantine.Milliseconds()}
 	for addr, r := range s.retired {
 		if r.Until < now {
@@ -298,8 +302,8 @@
 
 func (s *State) drain(index uint64, c model.Command) model.Result {
 	object := "backendServer/" + c.Drain.Service + "/" + c.Drain.Name
-	for _, b := range s.Servers() {
-		if b.Service != c.Drain.Service || b.Name != c.Drain.Name {
+	for _, b := range s.ServersOf(c.Drain.Service) {
+		if b.Name != c.Drain.Name {
 			continue
 		}
 		if b.Phase == model.Draining {
@@ -307,7 +311,7 @@
 		}
 		limit := time.Duration(s.services[b.Service].DrainTimeout)
 		b.DrainUntil = c.Time + limit.Milliseconds()
-		s.servers[b.ID] = b.WithPhase(model.Draining, index)
+		s.servers.put(b.WithPhase(model.Draining, index))
 		s.record(c, "drain", object, 0, uint64(b.ID), nil)
 		s.rebalance(b.Service, index)
 		return model.Result{ServerID: b.ID}
@@ -320,7 +324,7 @@
 func (s *State) removeServers(index uint64, c model.Command) model.Result {
 	touched := map[string]bool{}
 	for _, id := range c.RemoveServers.IDs {
-		b, ok := s.servers[id]
+		b, ok := s.Server(id)
 		if !ok {
 			continue
 		}
@@ -378,10 +382,7 @@
 	}
 	var active []model.BackendServer
 	alive := map[model.ServerID]bool{}
-	for _, b := range s.Servers() {
-		if b.Service != name {
-			continue
-		}
+	for _, b := range s.ServersOf(name) {
 		alive[b.ID] = true
 		if b.Phase == model.Active && svc.Admits(b.Zone) {
 			active = append(active, b)
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -24,6 +24,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 
@@ -49,13 +50,13 @@
 
 // Bucket says who takes the flows of one hash bucket.
 type Bucket struct {
-	Owner model.ServerID `cbor:"1,keyasint"`
+	Owner model.ServerID
 	// Base is the owner before the move; it takes unrecorded flows under way.
-	Base  model.ServerID `cbor:"2,keyasint,omitempty"`
-	Stage Stage          `cbor:"3,keyasint,omitempty"`
-	// Since is the log index at which the stage began; 0 in a bucket that has
-	// never moved away from a living backend server.
-	Since uint64 `cbor:"4,keyasint,omitempty"`
+	Base  model.ServerID
+	Stage Stage
+	// Since is the log index at which the stage began; in a closed bucket, that
+	// of the closing whose exceptions are in force, or 0 without exceptions.
+	Since uint64
 }
 
 // Choose returns the backend server of a flow without a record. A bucket that
@@ -72,9 +73,21 @@
 	}
 }
 
-// Table is an immutable assignment of buckets.
+// Table is an immutable assignment of buckets. Most buckets only have an owner;
+// the others are in moves.
 type Table struct {
-	Buckets []Bucket `cbor:"1,keyasint"`
+	Owners []model.ServerID `cbor:"1,keyasint"`
+	Moves  map[int]Move     `cbor:"2,keyasint,omitempty"`
+}
+
+// Move is what a bucket has besides its owner: a move under way, or the
+// exceptions of a move that has been closed.
+type Move struct {
+	Base  model.ServerID `cbor:"1,keyasint,omitempty"`
+	Stage Stage          `cbor:"2,keyasint,omitempty"`
+	Since uint64         `cbor:"3,keyasint,omitempty"`
+	// Former are the backend servers that exceptions may belong to.
+	Former []model.ServerID `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -92,22 +105,49 @@
 }
 
 // New returns a table of n buckets without owners; n must be a power of two.
-func New(n int) Table { return Table{Buckets: make([]Bucket, n)} }
+func New(n int) Table { return Table{Owners: make([]model.ServerID, n)} }
+
+// Len returns the number of buckets.
+func (t Table) Len() int { return len(t.Owners) }
 
 // Index returns the bucket number of a flow hash.
-func (t Table) Index(hash uint64) int { return int(hash & uint64(len(t.Buckets)-1)) }
+func (t Table) Index(hash uint64) int { return int(hash & uint64(len(t.Owners)-1)) }
 
 // Bucket returns the bucket of a flow hash. The table must not be empty.
-func (t Table) Bucket(hash uint64) Bucket { return t.Buckets[t.Index(hash)] }
+func (t Table) Bucket(hash uint64) Bucket { return t.At(t.Index(hash)) }
+
+// At returns a bucket by number.
+func (t Table) At(i int) Bucket {
+	b := Bucket{Owner: t.Owners[i]}
+	if len(t.Moves) == 0 {
+		return b
+	}
+	m := t.Moves[i]
+	b.Base, b.Stage, b.Since = m.Base, m.Stage, m.Since
+	return b
+}
+
+func (t Table) clone() Table {
+	next := Table{Owners: slices.Clone(t.Owners), Moves: maps.Clone(t.Moves)}
+	if next.Moves == nil {
+		next.Moves = map[int]Move{}
+	}
+	return next
+}
 
 // Grown returns a table with at least n buckets; n must be a power of two. Each
 // old bucket becomes several with the same contents, so no decision changes.
 func (t Table) Grown(n int) Table {
-	if len(t.Buckets) == 0 {
+	if t.Len() == 0 {
 		return New(n)
 	}
-	for len(t.Buckets) < n {
-		t.Buckets = slices.Concat(t.Buckets, t.Buckets)
+	for t.Len() < n {
+		old := t.Len()
+		next := Table{Owners: slices.Concat(t.Owners, t.Owners), Moves: maps.Clone(t.Moves)}
+		for i, m := range t.Moves {
+			next.Moves[i+old] = m
+		}
+		t = next
 	}
 	return t
 }
@@ -117,11 +157,10 @@
 // active backend servers receive buckets. A bucket whose former owner is in
 // alive starts a staged move; all other moves take effect at once.
 func (t Table) Rebalance(active []model.BackendServer, alive map[model.ServerID]bool, version uint64) Table {
-	next := Table{Buckets: slices.Clone(t.Buckets)}
-	quota := quotas(active, len(next.Buckets))
+	next := t.clone()
+	quota := quotas(active, t.Len())
 	var free []int
-	for i := range next.Buckets {
-		owner := next.Buckets[i].Owner
+	for i, owner := range next.Owners {
 		if quota[owner] > 0 {
 			quota[owner]--
 			continue
@@ -129,9 +168,9 @@
 		free = append(free, i)
 	}
 	for _, i := range free {
-		next.Buckets[i] = next.Buckets[i].move(takeQuota(quota, active, i), alive, version)
+		next.move(i, takeQuota(quota, active, i), alive, version)
 	}
-	next.dropDeadBases(alive)
+	next.dropDead(alive)
 	return next
 }
 
@@ -179,37 +218,48 @@
 	return out
 }
 
-// move returns the bucket with a new owner. While a move is under way every
-// unrecorded flow passes through the record keeper, so a second move needs no
-// preparation: only the owner changes.
-func (b Bucket) move(to model.ServerID, alive map[model.ServerID]bool, version uint64) Bucket {
+// move gives a bucket to a new owner. While a move is under way every unrecorded
+// flow passes through the record keeper, so a second move needs no preparation:
+// only the owner changes.
+func (t Table) move(i int, to model.ServerID, alive map[model.ServerID]bool, version uint64) {
+	from := t.Owners[i]
 	if to == 0 {
 		// No backend server can take the bucket; flows stay where they are.
-		if !alive[b.Owner] {
-			b.Owner = 0
+		if !alive[from] {
+			t.Owners[i] = 0
 		}
-		return b
-	}
-	if b.Stage == Closed && !alive[b.Owner] {
-		return Bucket{Owner: to, Since: b.Since}
+		return
 	}
-	if b.Stage == Closed {
-		return Bucket{Owner: to, Base: b.Owner, Stage: Preparing, Since: version}
+	t.Owners[i] = to
+	m := t.Moves[i]
+	settled := m.Stage == Closed || m.Stage == Closing
+	if !settled || m.Stage == Closed && !alive[from] {
+		return
 	}
-	if b.Stage == Closing {
-		return Bucket{Owner: to, Base: b.Owner, Stage: Preparing, Since: version}
+	former := m.Former
+	if m.Stage == Closing {
+		former = append(slices.Clone(former), m.Base)
 	}
-	b.Owner = to
-	return b
+	t.Moves[i] = Move{Base: from, Stage: Preparing, Since: version, Former: former}
 }
 
-// dropDeadBases ends the part of a base that no longer lives: its unrecorded
-// flows are lost with it and go to the owner.
-func (t Table) dropDeadBases(alive map[model.ServerID]bool) {
-	for i, b := range t.Buckets {
-		if b.Base != 0 && !alive[b.Base] {
-			t.Buckets[i].Base = b.Owner
+// dropDead forgets the backend servers that no longer live. The unrecorded flows
+// of a base are lost with it and go to the owner; a closed bucket without
+// exceptions is like one that never moved.
+func (t Table) dropDead(alive map[model.ServerID]bool) {
+	dead := func(id model.ServerID) bool { return !alive[id] }
+	for i, m := range t.Moves {
+		if m.Base != 0 && dead(m.Base) {
+			m.Base = t.Owners[i]
+		}
+		if slices.ContainsFunc(m.Former, dead) {
+			m.Former = slices.DeleteFunc(slices.Clone(m.Former), dead)
 		}
+		if m.Stage == Closed && len(m.Former) == 0 {
+			delete(t.Moves, i)
+			continue
+		}
+		t.Moves[i] = m
 	}
 }
 
@@ -217,19 +267,20 @@
 // the given one at or before through has entered it at version.
 func (t Table) Advance(to Stage, through, version uint64) Table {
 	from := before(to)
-	next := Table{Buckets: slices.Clone(t.Buckets)}
-	for i, b := range next.Buckets {
-		if b.Stage != from || b.Since > through {
+	next := t.clone()
+	for i, m := range t.Moves {
+		if m.Stage != from || m.Since > through {
 			continue
 		}
-		b.Stage = to
+		m.Stage = to
 		if to == Closed {
 			// Since stays: the exceptions date from the Closing stage.
-			b.Base = 0
+			m.Former = append(slices.Clone(m.Former), m.Base)
+			m.Base = 0
 		} else {
-			b.Since = version
+			m.Since = version
 		}
-		next.Buckets[i] = b
+		next.Moves[i] = m
 	}
 	return next
 }
@@ -249,21 +300,21 @@
 // is one.
 func (t Table) Oldest(s Stage) (uint64, bool) {
 	oldest, found := uint64(0), false
-	for _, b := range t.Buckets {
-		if b.Stage == s && (!found || b.Since < oldest) {
-			oldest, found = b.Since, true
+	for _, m := range t.Moves {
+		if m.Stage == s && (!found || m.Since < oldest) {
+			oldest, found = m.Since, true
 		}
 	}
 	return oldest, found
 }
 
-// Latest returns the highest Since of the buckets in a stage, and whether
-// there is one.
+// Latest returns the highest Since of the buckets in a stage, and whether there
+// is one.
 func (t Table) Latest(s Stage) (uint64, bool) {
 	latest, found := uint64(0), false
-	for _, b := range t.Buckets {
-		if b.Stage == s {
-			latest, found = max(latest, b.Since), true
+	for _, m := range t.Moves {
+		if m.Stage == s {
+			latest, found = max(latest, m.Since), true
 		}
 	}
 	return latest, found
--- a/io/entry/announce.go
+++ b/io/entry/announce.go
@@ -127,12 +127,10 @@
 // takeAnnouncement renews the lease of a known backend server, or passes a new
 // one on to the control replicas.
 func (e *Entry) takeAnnouncement(b model.BackendServer, done func(proto.Announced)) {
-	for _, known := range e.state.Servers() {
-		if known.SameIdentity(b) {
-			e.renewals[known.ID] = true
-			done(proto.Announced{Result: model.Result{ServerID: known.ID}})
-			return
-		}
+	if known, ok := e.state.ServerAt(b.Packets); ok && known.SameIdentity(b) {
+		e.renewals[known.ID] = true
+		done(proto.Announced{Result: model.Result{ServerID: known.ID}})
+		return
 	}
 	e.nextID++
 	id := e.nextID
--- /dev/null
+++ b/io/sizing/probe.go
@@ -0,0 +1,320 @@
+package sizing
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"boragepost/core/flow"
+	"boragepost/core/leader"
+	"boragepost/core/model"
+	"boragepost/core/shard"
+	"boragepost/core/state"
+	"boragepost/core/table"
+	"boragepost/io/proto"
+)
+
+// Names of the measured slopes.
+const (
+	StateBytes    = "stateBytes"
+	MovedBytes    = "movedBucketBytes"
+	SnapshotBytes = "snapshotBytes"
+	AnnounceTime  = "announceMicros"
+	RefreshTime   = "refreshMicros"
+	FlowBytes     = "flowBytes"
+	DecideTime    = "decideNanos"
+	MembersTime   = "setMembersMicros"
+	LeaderTime    = "leaderTickMicros"
+	GatherBytes   = "gatherBytes"
+	MessageBytes  = "messageBytes"
+)
+
+// probe measures one quantity at one size.
+type probe struct {
+	name, of, unit string
+	sizes          []int
+	measure        func(size int) float64
+}
+
+// serversPerService is the mean number of backend servers of a service at the
+// target size: 110,000 behind 35,000 addresses.
+const serversPerService = 3
+
+var probes = []probe{
+	{StateBytes, "backend servers", "bytes of heap", []int{1500, 3000, 6000, 12000}, measureState},
+	{MovedBytes, "moved buckets", "bytes of heap", []int{8500, 17_000, 34_000, 68_000}, measureMoved},
+	{SnapshotBytes, "backend servers", "bytes", []int{1500, 3000, 6000, 12000}, measureSnapshot},
+	{AnnounceTime, "backend servers", "µs a command", []int{1500, 3000, 6000, 12000}, measureAnnounce},
+	{RefreshTime, "backend servers", "µs a change", []int{1500, 3000, 6000, 12000}, measureRefresh},
+	{FlowBytes, "flows", "bytes of heap", []int{100_000, 200_000, 400_000, 800_000}, measureFlows},
+	{DecideTime, "flows", "ns a packet", []int{100_000, 200_000, 400_000, 800_000}, measureDecide},
+	{MembersTime, "entry instances", "µs a change", []int{250, 500, 1000, 2000}, measureMembers},
+	{LeaderTime, "entry instances", "µs a tick", []int{250, 500, 1000, 2000}, measureLeader},
+	{GatherBytes, "records", "bytes", []int{100, 1000, 10_000}, measureGather},
+	{MessageBytes, "heartbeats", "bytes both ways", []int{1, 10, 100}, measureBeats},
+}
+
+// Measure runs all probes. It takes about half a minute.
+func Measure(progress io.Writer) Slopes {
+	out := Slopes{}
+	for _, p := range probes {
+		s := Slope{Name: p.name, Of: p.of, Unit: p.unit}
+		for _, size := range p.sizes {
+			s.Points = append(s.Points, Point{X: float64(size), Y: p.measure(size)})
+		}
+		out[p.name] = s.fit()
+		fmt.Fprintf(progress, "%-18s %12.4g %s for each of %s, spread %.0f%%\n",
+			p.name, out[p.name].PerUnit, p.unit, p.of, 100*out[p.name].Spread)
+	}
+	return out
+}
+
+// heapOf returns the heap that build's result occupies.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// timeOf returns the time of one call of f, from enough calls to fill budget.
+func timeOf(budget time.Duration, f func(i int)) time.Duration {
+	start := time.Now()
+	n := 0
+	for time.Since(start) < budget {
+		f(n)
+		n++
+	}
+	return time.Since(start) / time.Duration(n)
+}
+
+const probeTime = 300 * time.Millisecond
+
+func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+// sampleServer returns the i-th backend server of a large deployment.
+func sampleServer(i int) model.BackendServer {
+	addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+	return model.BackendServer{
+		Name: fmt.Sprintf("server-%d", i), Service: serviceName(i / serversPerService), Zone: fmt.Sprintf("zone-%d", i%3),
+		Packets: netip.AddrPortFrom(addr, 7000), HTTP: netip.AddrPortFrom(addr, 8000),
+		Slots: 2, Weight: 1, Incarnation: 1,
+	}
+}
+
+func serviceName(i int) string { return fmt.Sprintf("service-%d", i) }
+
+// sampleState returns a state with a number of backend servers.
+func sampleState(servers int) *state.State {
+	s := state.New()
+	index := uint64(0)
+	apply := func(c model.Command) {
+		index++
+		s.Apply(index, c)
+	}
+	services := servers / serversPerService
+	put := func(i int, zones ...string) {
+		addr := netip.AddrFrom4([4]byte{192, byte(i >> 16), byte(i >> 8), byte(i)})
+		apply(model.Command{PutService: &model.PutService{Force: true, Service: model.Service{
+			Name: serviceName(i), Address: netip.AddrPortFrom(addr, 443), Zones: zones,
+			IdleTimeout: model.Duration(time.Minute), DrainTimeout: model.Duration(time.Hour),
+		}}})
+	}
+	for i := range services {
+		put(i, "none")
+	}
+	for i := range services * serversPerService {
+		apply(model.Command{Announce: &model.Announce{Server: sampleServer(i)}})
+	}
+	// The services open once all backend servers are there, so that no bucket
+	// has moved.
+	for i := range services {
+		put(i)
+	}
+	return s
+}
+
+// measureMoved returns the heap of moved buckets: one backend server of each
+// service drains.
+func measureMoved(buckets int) float64 {
+	services := buckets / (table.Size(serversPerService) / serversPerService)
+	s := sampleState(services * serversPerService)
+	return heapOf(func() any {
+		for i := range services {
+			drain := &model.Drain{Service: serviceName(i), Name: fmt.Sprintf("server-%d", i*serversPerService)}
+			s.Apply(s.Index()+1, model.Command{Drain: drain})
+		}
+		return s
+	})
+}
+
+func measureState(servers int) float64 {
+	return heapOf(func() any {
+		s := sampleState(servers)
+		data, err := s.Routing()
+		if err != nil {
+			panic(err)
+		}
+		s, err = state.RestoreRouting(data)
+		if err != nil {
+			panic(err)
+		}
+		return []any{s, flow.NewView(s)}
+	})
+}
+
+func measureSnapshot(servers int) float64 {
+	data, err := sampleState(servers).Routing()
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(data))
+}
+
+func measureAnnounce(servers int) float64 {
+	s := sampleState(servers)
+	index := s.Index()
+	return micros(timeOf(probeTime, func(i int) {
+		b := sampleServer(i % servers)
+		b.Incarnation = uint64(i + 2)
+		index++
+		s.Apply(index, model.Command{Announce: &model.Announce{Server: b}})
+	}))
+}
+
+func measureRefresh(servers int) float64 {
+	s := sampleState(servers)
+	b := flow.NewBalancer(flow.Limits{})
+	return micros(timeOf(probeTime, func(int) { b.Apply(flow.NewView(s)) }))
+}
+
+// sampleBalancer returns a balancer of one service with established flows.
+func sampleBalancer(flows int) *flow.Balancer {
+	s := sampleState(serversPerService)
+	b := flow.NewBalancer(flow.Limits{MaxFlows: 2 * flows})
+	b.Apply(flow.NewView(s))
+	b.Renew(int64(time.Hour))
+	b.Fetched(serviceName(0), s.Index())
+	for i := range flows {
+		h := sampleHeader(i)
+		b.Decide(1, h)
+		h.Start = false
+		b.Decide(2, h)
+	}
+	return b
+}
+
+func sampleHeader(i int) flow.Header {
+	addr := netip.AddrFrom4([4]byte{100, byte(i >> 16), byte(i >> 8), byte(i)})
+	return flow.Header{
+		Source: netip.AddrPortFrom(addr, 40000), Protocol: flow.TCP, Start: true,
+		Dest: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 0, 0}), 443),
+	}
+}
+
+func measureFlows(flows int) float64 {
+	return heapOf(func() any { return sampleBalancer(flows) })
+}
+
+func measureDecide(flows int) float64 {
+	b := sampleBalancer(flows)
+	headers := make([]flow.Header, flows)
+	for i := range headers {
+		headers[i] = sampleHeader(i)
+		headers[i].Start = false
+	}
+	const batch = 1000
+	next := 0
+	per := timeOf(probeTime, func(int) {
+		for range batch {
+			b.Decide(3, headers[next])
+			next = (next + 7919) % flows
+		}
+	})
+	return float64(per.Nanoseconds()) / batch
+}
+
+func members(n int) []shard.Member {
+	out := make([]shard.Member, n)
+	for i := range out {
+		out[i] = shard.Member{ID: model.InstanceID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+	}
+	return out
+}
+
+func sampleStore() *shard.Store[flow.Key, flow.Record] {
+	return shard.New(shard.Config[flow.Key, flow.Record]{
+		Self: "entry-0", ShardOf: flow.ShardOf,
+		Decide: func(_ flow.Key, ask, _ flow.Record, _ bool) (flow.Record, bool) { return ask, true },
+	})
+}
+
+func measureMembers(n int) float64 {
+	s := sampleStore()
+	all := members(n)
+	return micros(timeOf(probeTime, func(i int) {
+		all[n-1].Incarnation = uint64(i + 2)
+		s.SetMembers(uint64(i+1), all)
+	}))
+}
+
+func measureLeader(n int) float64 {
+	s := sampleState(serversPerService)
+	d := leader.New(leader.Timing{}, 0)
+	for i := range n {
+		in := sampleInstance(i)
+		s.Apply(s.Index()+1, model.Command{Join: &model.Join{Instance: in}})
+	}
+	return micros(timeOf(probeTime, func(i int) {
+		now := time.Duration(i) * time.Millisecond
+		for k := range n {
+			d.Beat(now, leader.Beat{Instance: sampleInstance(k)}, s)
+		}
+		d.Tick(now, int64(i), s)
+	}))
+}
+
+func sampleInstance(i int) model.Instance {
+	addr := netip.AddrFrom4([4]byte{10, 200, byte(i >> 8), byte(i)})
+	return model.Instance{
+		ID: model.InstanceID(fmt.Sprintf("entry-%d", i)), Zone: fmt.Sprintf("zone-%d", i%3),
+		Peer: netip.AddrPortFrom(addr, 9000), Gateway: netip.AddrPortFrom(addr, 8000), Incarnation: 1,
+	}
+}
+
+func encodedSize(v any) float64 {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(data))
+}
+
+func measureGather(records int) float64 {
+	g := &shard.Gathered[flow.Key, flow.Record]{Version: 1 << 20}
+	for i := range records {
+		g.Records = append(g.Records, shard.Record[flow.Key, flow.Record]{
+			Key: sampleHeader(i).Key(), Value: flow.Record{Route: 1 << 30, Server: 1 << 20}})
+	}
+	return encodedSize(proto.ToPeer{From: "entry-1", Flow: &shard.Message[flow.Key, flow.Record]{Gathered: g}})
+}
+
+func measureBeats(n int) float64 {
+	total := 0.0
+	for i := range n {
+		total += encodedSize(proto.ToControl{Beat: &proto.Beat{Seq: uint64(i) + 1<<20, Beat: leader.Beat{
+			Instance: sampleInstance(i), Confirmed: 1 << 24, Fetched: 1 << 24, Applied: 1 << 24}}})
+		total += encodedSize(proto.ToEntry{Grant: &proto.Grant{Seq: uint64(i) + 1<<20, Commit: 1 << 24, LeaseMs: 2000}})
+	}
+	return total
+}
