Keep flows known to the record keepers through repeated moves

A bucket that closes drops the records that agree with its owner, but the instances kept the mark that the keeper knows the flow. When the bucket moved again nobody reported the flow, and a UDP packet of an unrecorded flow counts as the first of a new one.

Ruled out: answers of the fabric's duplicates (the caller ignores a second answer to a first packet); views that differ between instances (a history test with lagging instances showed the same failure with equal views).

Change: the flow side of an instance moves from io/entry to the new core/agent, so that a property test can drive whole histories of moves, restarts, pauses and lost links without a socket. It found four more faults, all mended: - a process that was out of the members and came back without seeing a version in between took its stale records for complete; members now carry the version at which they joined; - the mark was set when a report was sent and stayed when the report was lost; the answer sets it now; - an answer given before a move began was used after the instance had confirmed the move; open questions are asked again at each version; - an unrecorded UDP flow left a base that still takes new flows.

Before: the history test fails after 1 to 75 histories.

Not mended: a UDP flow that only one instance has seen is lost with that instance when its bucket then leaves a draining backend server.

Conclusion: the rule that only an answer may end a duty holds for reports as it did for questions.

--- a/core/flow/balancer.go
+++ b/core/flow/balancer.go
@@ -176,7 +176,7 @@
 	bucket := route.Table.Bucket(uint64(key))
 	moving := bucket.Stage != table.Closed && bucket.Owner != r.server
 	if moving && r.flags&(flagReported|flagHalfOpen) == 0 && v.Action == Forward {
-		r.flags |= flagReported
+		// The flag that ends the reports is set by the keeper's answer.
 		v.Report = true
 		v.Question = Record{Route: route.ID, Server: r.server, UDP: h.Protocol == UDP}
 	}
@@ -201,7 +201,7 @@
 		return Verdict{Action: Query, Key: key, Question: Record{
 			Route: route.ID, Start: h.Start, UDP: h.Protocol == UDP}}
 	}
-	server := bucket.Choose(h.Start || h.Protocol == UDP)
+	server := bucket.Choose(route.starts(bucket, h.Start, h.Protocol == UDP))
 	if !route.lives(server) {
 		return Verdict{Reason: NoServer, Key: key}
 	}
--- a/core/flow/change.go
+++ b/core/flow/change.go
@@ -1,6 +1,9 @@
 package flow
 
 import (
+	"cmp"
+	"slices"
+
 	"boragepost/core/model"
 	"boragepost/core/shard"
 	"boragepost/core/table"
@@ -30,17 +33,26 @@
 		return nil
 	}
 	var reports []Report
-	b.flows.each(func(k Key, r tracked) {
+	b.flows.update(func(k Key, r tracked) tracked {
 		route := moving[r.route]
-		if route == nil || r.flags&(flagHalfOpen|flagUDP) == 0 || r.flags&flagReported != 0 {
-			return
+		if route == nil {
+			return r
 		}
 		bucket := route.Table.Bucket(uint64(k))
-		if bucket.Stage == table.Preparing && bucket.Since > old.Version && route.lives(r.server) {
+		if bucket.Stage != table.Preparing || bucket.Since <= old.Version || !route.lives(r.server) {
+			return r
+		}
+		// What a keeper was told before this move began, it may have dropped
+		// when the bucket was closed.
+		r.flags &^= flagReported
+		if r.flags&(flagHalfOpen|flagUDP) != 0 {
+			r.flags |= flagReported
 			reports = append(reports, Report{Key: k, Question: Record{
 				Route: route.ID, Server: r.server, UDP: r.flags&flagUDP != 0}})
 		}
+		return r
 	})
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Key, b.Key) })
 	return reports
 }
 
@@ -74,6 +86,7 @@
 			out = append(out, f)
 		}
 	}
+	slices.SortFunc(out, func(a, b Fetch) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
--- a/core/flow/keeper.go
+++ b/core/flow/keeper.go
@@ -42,7 +42,7 @@
 		return Record{Route: ask.Route, Server: ask.Server, UDP: ask.UDP}, true
 	}
 	bucket := route.Table.Bucket(uint64(key))
-	answer := Record{Route: ask.Route, UDP: ask.UDP, Server: bucket.Choose(ask.Start || ask.UDP)}
+	answer := Record{Route: ask.Route, UDP: ask.UDP, Server: bucket.Choose(route.starts(bucket, ask.Start, ask.UDP))}
 	moving := bucket.Stage == table.Preparing || bucket.Stage == table.Open
 	return answer, moving && route.lives(answer.Server)
 }
--- a/core/flow/tracker.go
+++ b/core/flow/tracker.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// update replaces every flow by what f returns for it, one stripe at a time.
+func (t *tracker) update(f func(Key, tracked) tracked) {
+	for i := range t.stripes {
+		s := &t.stripes[i]
+		s.mu.Lock()
+		for _, m := range []map[Key]tracked{s.half, s.live} {
+			for k, r := range m {
+				if next := f(k, r); next != r {
+					m[k] = next
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // expire drops the flows for which drop returns true, one stripe at a time.
 func (t *tracker) expire(drop func(Key, tracked) bool) {
 	for i := range t.stripes {
--- a/core/flow/view.go
+++ b/core/flow/view.go
@@ -33,6 +33,13 @@
 	return ok
 }
 
+// starts reports whether a packet of an unrecorded flow counts as the flow's
+// first. UDP does not mark first packets, so an unrecorded UDP flow stays with
+// the base as long as that takes new flows; a draining base takes none.
+func (r *Route) starts(b table.Bucket, start, udp bool) bool {
+	return start || udp && (r.Targets[b.Base].Draining || !r.lives(b.Base))
+}
+
 // View is an immutable picture of the replicated state for packet decisions.
 type View struct {
 	Version uint64
--- a/core/shard/message.go
+++ b/core/shard/message.go
@@ -151,7 +151,7 @@
 
 func (s *Store[K, V]) copies(w *write[K, V]) []Send[K, V] {
 	var out []Send[K, V]
-	for id := range w.waiting {
+	for _, id := range slices.Sorted(maps.Keys(w.waiting)) {
 		out = append(out, Send[K, V]{To: id, Message: Message[K, V]{
 			Copy: &Copy[K, V]{Seq: w.seq, Version: s.version, Key: w.key, Value: w.value}}})
 	}
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -23,6 +23,8 @@
 package shard
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"boragepost/core/model"
@@ -32,10 +34,20 @@
 // Shards is the number of shards.
 const Shards = 64
 
-// Member is one life of an instance.
+// Member is one stay of an instance among the members. Joined tells it from
+// earlier stays, also from those of the same process.
 type Member struct {
-	ID          model.InstanceID
-	Incarnation uint64
+	ID     model.InstanceID
+	Joined uint64
+}
+
+// Members returns the members that a list of instances describes.
+func Members(instances []model.Instance) []Member {
+	out := make([]Member, len(instances))
+	for i, m := range instances {
+		out[i] = Member{ID: m.ID, Joined: m.Since}
+	}
+	return out
 }
 
 // Record is one key with its value.
@@ -200,14 +212,18 @@
 	if !first && s.sameMembers(members) {
 		return nil
 	}
+	// An instance that was out of the members for a while has missed writes,
+	// even when it never saw a version without itself.
+	joined := s.members[s.cfg.Self]
 	s.members = make(map[model.InstanceID]uint64, len(members))
 	ids := make([]model.InstanceID, 0, len(members))
 	for _, m := range members {
-		s.members[m.ID] = m.Incarnation
+		s.members[m.ID] = m.Joined
 		ids = append(ids, m.ID)
 	}
+	rejoined := first || s.members[s.cfg.Self] != joined
 	for i := range s.parts {
-		s.placeShard(i, ids, first)
+		s.placeShard(i, ids, rejoined)
 	}
 	out := s.dropLostReplicas()
 	return append(out, s.sendGathers()...)
@@ -215,16 +231,16 @@
 
 func (s *Store[K, V]) sameMembers(members []Member) bool {
 	for _, m := range members {
-		if incarnation, ok := s.members[m.ID]; !ok || incarnation != m.Incarnation {
+		if joined, ok := s.members[m.ID]; !ok || joined != m.Joined {
 			return false
 		}
 	}
 	return len(members) == len(s.members)
 }
 
-func (s *Store[K, V]) placeShard(i int, ids []model.InstanceID, first bool) {
+func (s *Store[K, V]) placeShard(i int, ids []model.InstanceID, rejoined bool) {
 	p := &s.parts[i]
-	was := !first && slices.Contains(p.replicas, s.cfg.Self)
+	was := !rejoined && slices.Contains(p.replicas, s.cfg.Self)
 	p.replicas = place.Top(s.cfg.Copies, place.Mix(place.Hash(s.cfg.Salt), uint64(i)), ids)
 	is := slices.Contains(p.replicas, s.cfg.Self)
 	switch {
@@ -262,7 +278,7 @@
 // no longer members. A replica that is new gathers the record by itself.
 func (s *Store[K, V]) dropLostReplicas() []Send[K, V] {
 	var out []Send[K, V]
-	for _, w := range s.writes {
+	for _, w := range s.writesInOrder() {
 		replicas := s.parts[s.cfg.ShardOf(w.key)].replicas
 		for id := range w.waiting {
 			if !slices.Contains(replicas, id) {
@@ -279,7 +295,7 @@
 func (s *Store[K, V]) Tick() []Send[K, V] {
 	s.dropFormer()
 	out := s.sendGathers()
-	for _, w := range s.writes {
+	for _, w := range s.writesInOrder() {
 		w.age++
 		if w.age > 1 {
 			out = append(out, s.copies(w)...)
@@ -288,6 +304,10 @@
 	return out
 }
 
+func (s *Store[K, V]) writesInOrder() []*write[K, V] {
+	return slices.SortedFunc(maps.Values(s.writes), func(a, b *write[K, V]) int { return cmp.Compare(a.seq, b.seq) })
+}
+
 func (s *Store[K, V]) dropFormer() {
 	for i := range s.parts {
 		p := &s.parts[i]
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"boragepost/core/flow"
 	"boragepost/core/leader"
 	"boragepost/core/model"
 	"boragepost/io/links"
@@ -117,12 +116,13 @@
 	k := &e.lease
 	k.seq++
 	k.sent[k.seq] = e.now()
+	confirmed, fetched := e.agent.Progress()
 	delete(k.sent, k.seq-maxBeats)
 	e.control.Send(proto.ToControl{Beat: &proto.Beat{Seq: k.seq, Beat: leader.Beat{
 		Instance:  e.self,
 		Applied:   e.state.Index(),
-		Confirmed: e.confirm,
-		Fetched:   e.balancer.FetchedThrough(flow.ShardOfBucket),
+		Confirmed: confirmed,
+		Fetched:   fetched,
 		Leaving:   e.leaving.Load(),
 	}}})
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -3,8 +3,9 @@
 // announcements of backend servers.
 //
 // Packet workers decide by themselves (package flow). Everything else runs on
-// one goroutine, the agent: it follows the control replicas, keeps this
-// instance's shards, and resolves the packets that workers could not decide.
+// one goroutine, the loop: it follows the control replicas, drives the agent
+// (package agent), which resolves the packets that workers could not decide, and
+// keeps this instance's shards of request claims.
 //
 // # Usage
 //
@@ -24,6 +25,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"boragepost/core/agent"
 	"boragepost/core/claim"
 	"boragepost/core/flow"
 	"boragepost/core/model"
@@ -54,11 +56,10 @@
 	log      *logrus.Entry
 	self     model.Instance
 	start    time.Time
-	balancer *flow.Balancer
-	keeper   flow.Keeper
+	balancer *flow.Balancer // the agent's
 	gateway  *gate.Gateway
 	posts    chan func()
-	queries  chan query
+	queries  chan agent.Query
 	plane    *plane
 	counters counters
 	meter    links.Meter
@@ -71,21 +72,17 @@
 	leaving  atomic.Bool // the instance gives up its membership
 	applied  atomic.Uint64
 
-	// The agent's own state.
+	// State of the loop.
 	state    *state.State
-	flows    *shard.Store[flow.Key, flow.Record]
+	agent    *agent.Agent
 	claims   *shard.Store[claim.Key, claim.Record]
 	peers    map[model.InstanceID]peer
 	lease    leaseKeeper
-	resolver resolver
-	fetches  map[string]*fetch
 	claiming map[uint64]*claimCall
 	calls    map[uint64]func(proto.Announced)
 	renewals map[model.ServerID]bool
 	nextID   uint64
 	ticks    uint64
-	reports  int // prepare reports without an answer
-	confirm  uint64
 }
 
 // Start opens the endpoints and runs the instance until ctx ends or Shutdown is
@@ -98,20 +95,20 @@
 			ID: model.InstanceID(s.Name), Zone: s.Zone, Peer: s.Peer, Gateway: s.Gateway,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		balancer: flow.NewBalancer(flow.Limits{MaxFlows: s.Limits.MaxFlows, MaxHalfOpen: s.Limits.MaxHalfOpen}),
+		agent: agent.New(agent.Config{Self: model.InstanceID(s.Name), Limits: flow.Limits{
+			MaxFlows: s.Limits.MaxFlows, MaxHalfOpen: s.Limits.MaxHalfOpen}}),
 		posts:    make(chan func(), postQueue),
-		queries:  make(chan query, postQueue),
+		queries:  make(chan agent.Query, postQueue),
 		state:    state.New(),
 		peers:    map[model.InstanceID]peer{},
-		fetches:  map[string]*fetch{},
 		claiming: map[uint64]*claimCall{},
 		calls:    map[uint64]func(proto.Announced){},
 		renewals: map[model.ServerID]bool{},
 	}
 	e.ctx, e.cancel = context.WithCancel(ctx)
-	e.resolver.init()
 	e.lease.init()
-	e.newStores()
+	e.balancer = e.agent.Balancer()
+	e.newClaims()
 	e.gateway = gate.New(gate.Config{
 		Self: e.self.ID, Zone: s.Zone, MaxRequests: s.Limits.MaxRequests, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		Claim: e.claim, IsMember: e.isMember, Log: e.log,
@@ -127,16 +124,11 @@
 	return e, nil
 }
 
-func (e *Entry) newStores() {
-	e.keeper = flow.Keeper{View: e.balancer.View}
-	fenced := func() bool { return !e.balancer.HasLease(e.now()) }
-	e.flows = shard.New(shard.Config[flow.Key, flow.Record]{
-		Self: e.self.ID, Salt: "flow", ShardOf: flow.ShardOf, Decide: e.keeper.Decide,
-		Extra: e.balancer.Known, Fenced: fenced, Answered: e.onFlowAnswer,
-	})
+func (e *Entry) newClaims() {
 	e.claims = shard.New(shard.Config[claim.Key, claim.Record]{
 		Self: e.self.ID, Copies: claimCopies, Salt: "claim", ShardOf: claim.ShardOf, Decide: claim.Decide,
-		Merge: claim.Merge, Fenced: fenced, Answered: e.onClaimAnswer,
+		Merge: claim.Merge, Answered: e.onClaimAnswer,
+		Fenced: func() bool { return !e.balancer.HasLease(e.now()) },
 	})
 }
 
@@ -176,7 +168,7 @@
 	e.stopped.Add(1)
 	go func() {
 		defer e.stopped.Done()
-		e.agent()
+		e.loop()
 	}()
 	e.plane.run(&e.stopped)
 }
@@ -243,7 +235,7 @@
 	}
 }
 
-// post runs f on the agent's goroutine. It reports false when the instance has
+// post runs f on the loop's goroutine. It reports false when the instance has
 // stopped.
 func (e *Entry) post(f func()) bool {
 	select {
@@ -254,7 +246,7 @@
 	}
 }
 
-// read runs f on the agent's goroutine and waits for it.
+// read runs f on the loop's goroutine and waits for it.
 func (e *Entry) read(f func()) bool {
 	done := make(chan struct{})
 	if !e.post(func() { f(); close(done) }) {
--- a/io/entry/agent.go
+++ b/io/entry/loop.go
@@ -3,28 +3,26 @@
 import (
 	"time"
 
+	"boragepost/core/agent"
 	"boragepost/core/model"
 	"boragepost/core/shard"
 	"boragepost/core/state"
 	"boragepost/io/gate"
 	"boragepost/io/proto"
-
-	"boragepost/core/flow"
 )
 
 const (
-	agentTick = 20 * time.Millisecond
-	// Intervals in agent ticks.
+	loopTick = 20 * time.Millisecond
+	// Intervals in ticks of the loop.
 	beatTicks   = 25
 	storeTicks  = 5
 	renewTicks  = 50
 	expireTicks = 100
-	fetchTicks  = 10
 )
 
-// agent runs everything but the packet workers and the HTTP handlers.
-func (e *Entry) agent() {
-	ticker := time.NewTicker(agentTick)
+// loop runs everything but the packet workers and the HTTP handlers.
+func (e *Entry) loop() {
+	ticker := time.NewTicker(loopTick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -33,7 +31,7 @@
 		case f := <-e.posts:
 			f()
 		case q := <-e.queries:
-			e.onQuery(q)
+			e.carryOut(e.agent.Query(e.now(), q))
 		case <-ticker.C:
 			e.tick()
 		}
@@ -44,25 +42,19 @@
 	e.ticks++
 	now := e.now()
 	e.balancer.SetIsland(e.lease.tick(now, e.balancer.HasLease(now)))
-	e.retryQuestions(now)
+	e.carryOut(e.agent.Tick(now))
 	e.retryClaims(now)
 	if e.ticks%beatTicks == 0 {
 		e.sendBeat()
 		e.resetSilentLink(now)
 	}
 	if e.ticks%storeTicks == 0 {
-		e.sendFlows(e.flows.Tick())
 		e.sendClaims(e.claims.Tick())
 	}
-	if e.ticks%fetchTicks == 0 {
-		e.fetchMissing()
-	}
 	if e.ticks%renewTicks == 0 {
 		e.sendRenewals()
 	}
 	if e.ticks%expireTicks == 0 {
-		e.balancer.Expire(now)
-		e.flows.Delete(e.keeper.Obsolete)
 		e.expireClaims()
 	}
 }
@@ -100,20 +92,24 @@
 // refresh puts the state in force everywhere in the instance.
 func (e *Entry) refresh() {
 	version := e.state.Index()
-	reports := e.balancer.Apply(flow.NewView(e.state))
-	var members []shard.Member
-	for _, m := range e.state.Instances() {
-		members = append(members, shard.Member{ID: m.ID, Incarnation: m.Incarnation})
-	}
 	e.refreshPeers()
-	e.sendFlows(e.flows.SetMembers(version, members))
-	e.sendClaims(e.claims.SetMembers(version, members))
+	e.carryOut(e.agent.Apply(e.now(), e.state))
+	e.sendClaims(e.claims.SetMembers(version, shard.Members(e.state.Instances())))
 	e.gateway.Apply(e.gatewayView())
 	e.applied.Store(version)
-	e.report(reports)
 	e.lease.applied(e, version)
 }
 
+// carryOut sends the messages and packets of an agent's output.
+func (e *Entry) carryOut(out agent.Output) {
+	for _, s := range out.Sends {
+		e.sendPeer(s.To, proto.ToPeer{Agent: &s.Message})
+	}
+	for _, h := range out.Packets {
+		e.plane.sendHeld(h.Verdict, h.Packet)
+	}
+}
+
 func (e *Entry) gatewayView() gate.View {
 	view := gate.View{}
 	servers := map[string][]model.BackendServer{}
@@ -125,19 +121,3 @@
 	}
 	return view
 }
-
-// report asks the keepers to record the flows that a beginning move must not
-// mistake for new ones. The version is confirmed when all have been recorded.
-func (e *Entry) report(reports []flow.Report) {
-	for _, r := range reports {
-		e.reports++
-		e.ask(r.Key, r.Question, flow.Header{}, nil, true)
-	}
-	e.confirmIfReported()
-}
-
-func (e *Entry) confirmIfReported() {
-	if e.reports == 0 {
-		e.confirm = e.state.Index()
-	}
-}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -11,9 +11,9 @@
 
 // counters count packets and questions.
 type counters struct {
-	forwarded, resolved, malformed, sendErrors    atomic.Int64
-	questions, questionsExpired, questionsRefused atomic.Int64
-	noService, noServer, noLease, unverified      atomic.Int64
+	forwarded, resolved, malformed, sendErrors atomic.Int64
+	queriesDropped                             atomic.Int64
+	noService, noServer, noLease, unverified   atomic.Int64
 }
 
 func (c *counters) drop(reason flow.Reason) {
@@ -43,9 +43,7 @@
 	counter("resolved_packets_total", "Packets forwarded after a question to a record keeper.", nil, &c.resolved)
 	counter("malformed_packets_total", "Datagrams that could not be read.", nil, &c.malformed)
 	counter("send_errors_total", "Batches that the socket refused.", nil, &c.sendErrors)
-	counter("questions_total", "Questions to record keepers.", nil, &c.questions)
-	counter("questions_expired_total", "Questions that were not answered in time.", nil, &c.questionsExpired)
-	counter("questions_refused_total", "Questions dropped because too many were open.", nil, &c.questionsRefused)
+	counter("dropped_queries_total", "Undecided packets dropped because the queue was full.", nil, &c.queriesDropped)
 	for reason, v := range map[flow.Reason]*atomic.Int64{
 		flow.NoService: &c.noService, flow.NoServer: &c.noServer,
 		flow.NoLease: &c.noLease, flow.Unverified: &c.unverified,
@@ -79,16 +77,24 @@
 		return 0
 	})
 	gauge("applied_version", "Log index in force at the instance.", func() float64 { return float64(e.applied.Load()) })
-	gauge("flow_records", "Flow records held for shards.", func() (v float64) {
-		e.read(func() { v = float64(e.flows.Len()) })
-		return v
+	loop := func(name, help string, value func() float64) {
+		gauge(name, help, func() (v float64) {
+			e.read(func() { v = value() })
+			return v
+		})
+	}
+	loop("flow_records", "Flow records held for shards.", func() float64 { return float64(e.agent.Records()) })
+	loop("claims", "Request claims held for shards.", func() float64 { return float64(e.claims.Len()) })
+	loop("gathering_shards", "Shards that are being rebuilt here.", func() float64 {
+		return float64(e.agent.Gathering() + e.claims.Gathering())
+	})
+	loop("questions", "Questions to record keepers since the start.", func() float64 {
+		return float64(e.agent.Counts().Asked)
 	})
-	gauge("claims", "Request claims held for shards.", func() (v float64) {
-		e.read(func() { v = float64(e.claims.Len()) })
-		return v
+	loop("expired_questions", "Questions without an answer in time.", func() float64 {
+		return float64(e.agent.Counts().Expired)
 	})
-	gauge("gathering_shards", "Shards that are being rebuilt here.", func() (v float64) {
-		e.read(func() { v = float64(e.flows.Gathering() + e.claims.Gathering()) })
-		return v
+	loop("refused_questions", "Questions not asked because too many were open.", func() float64 {
+		return float64(e.agent.Counts().Refused)
 	})
 }
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"boragepost/core/claim"
-	"boragepost/core/flow"
 	"boragepost/core/model"
 	"boragepost/core/shard"
 	"boragepost/io/links"
@@ -41,14 +40,10 @@
 
 func (e *Entry) onPeer(m proto.ToPeer) {
 	switch {
-	case m.Flow != nil:
-		e.sendFlows(e.flows.Handle(m.From, *m.Flow))
+	case m.Agent != nil:
+		e.carryOut(e.agent.Handle(e.now(), m.From, *m.Agent))
 	case m.Claim != nil:
 		e.sendClaims(e.claims.Handle(m.From, *m.Claim))
-	case m.Fetch != nil:
-		e.onFetch(m.From, *m.Fetch)
-	case m.Fetched != nil:
-		e.onFetched(*m.Fetched)
 	}
 }
 
@@ -63,12 +58,6 @@
 	}
 }
 
-func (e *Entry) sendFlows(sends []shard.Send[flow.Key, flow.Record]) {
-	for _, s := range sends {
-		e.sendPeer(s.To, proto.ToPeer{Flow: &s.Message})
-	}
-}
-
 func (e *Entry) sendClaims(sends []shard.Send[claim.Key, claim.Record]) {
 	for _, s := range sends {
 		e.sendPeer(s.To, proto.ToPeer{Claim: &s.Message})
--- a/io/entry/plane.go
+++ b/io/entry/plane.go
@@ -12,13 +12,12 @@
 	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
 
+	"boragepost/core/agent"
 	"boragepost/core/flow"
-	"boragepost/core/shard"
 	"boragepost/io/packet"
 )
 
 const (
-	shards = shard.Shards
 	// maxDatagram is the largest datagram that is accepted, in bytes.
 	maxDatagram  = 9216
 	batchSize    = 64
@@ -149,20 +148,20 @@
 	case flow.Forward:
 		w.queue(inner, v.Target)
 		if v.Report {
-			w.query(query{verdict: v, header: h})
+			w.query(agent.Query{Verdict: v, Header: h})
 		}
 	case flow.Query:
-		w.query(query{verdict: v, header: h, packet: append([]byte(nil), inner...)})
+		w.query(agent.Query{Verdict: v, Header: h, Packet: append([]byte(nil), inner...)})
 	default:
 		c.drop(v.Reason)
 	}
 }
 
-func (w *worker) query(q query) {
+func (w *worker) query(q agent.Query) {
 	select {
 	case w.entry.queries <- q:
 	default:
-		w.entry.counters.questionsRefused.Add(1)
+		w.entry.counters.queriesDropped.Add(1)
 	}
 }
 
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -7,8 +7,8 @@
 package proto
 
 import (
+	"boragepost/core/agent"
 	"boragepost/core/claim"
-	"boragepost/core/flow"
 	"boragepost/core/leader"
 	"boragepost/core/model"
 	"boragepost/core/quorum"
@@ -118,24 +118,7 @@
 
 // ToPeer is a message between entry instances.
 type ToPeer struct {
-	From    model.InstanceID                        `cbor:"1,keyasint"`
-	Flow    *shard.Message[flow.Key, flow.Record]   `cbor:"2,keyasint,omitempty"`
-	Claim   *shard.Message[claim.Key, claim.Record] `cbor:"3,keyasint,omitempty"`
-	Fetch   *Fetch                                  `cbor:"4,keyasint,omitempty"`
-	Fetched *Fetched                                `cbor:"5,keyasint,omitempty"`
-}
-
-// Fetch asks a record keeper for the exceptions of a service in one shard.
-type Fetch struct {
-	Service string `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	Shard   int    `cbor:"3,keyasint"`
-}
-
-// Fetched answers a Fetch. Ready is false when the receiver does not serve the
-// shard at that version.
-type Fetched struct {
-	Fetch   Fetch                       `cbor:"1,keyasint"`
-	Ready   bool                        `cbor:"2,keyasint"`
-	Records map[flow.Key]model.ServerID `cbor:"3,keyasint,omitempty"`
+	From  model.InstanceID                        `cbor:"1,keyasint"`
+	Agent *agent.Message                          `cbor:"2,keyasint,omitempty"`
+	Claim *shard.Message[claim.Key, claim.Record] `cbor:"3,keyasint,omitempty"`
 }
--- a/io/sizing/probe.go
+++ b/io/sizing/probe.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"boragepost/core/agent"
 	"boragepost/core/flow"
 	"boragepost/core/leader"
 	"boragepost/core/model"
@@ -247,7 +248,7 @@
 func members(n int) []shard.Member {
 	out := make([]shard.Member, n)
 	for i := range out {
-		out[i] = shard.Member{ID: model.InstanceID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+		out[i] = shard.Member{ID: model.InstanceID(fmt.Sprintf("entry-%d", i)), Joined: 1}
 	}
 	return out
 }
@@ -263,7 +264,7 @@
 	s := sampleStore()
 	all := members(n)
 	return micros(timeOf(probeTime, func(i int) {
-		all[n-1].Incarnation = uint64(i + 2)
+		all[n-1].Joined = uint64(i + 2)
 		s.SetMembers(uint64(i+1), all)
 	}))
 }
@@ -306,7 +307,7 @@
 		g.Records = append(g.Records, shard.Record[flow.Key, flow.Record]{
 			Key: sampleHeader(i).Key(), Value: flow.Record{Route: 1 << 30, Server: 1 << 20}})
 	}
-	return encodedSize(proto.ToPeer{From: "entry-1", Flow: &shard.Message[flow.Key, flow.Record]{Gathered: g}})
+	return encodedSize(proto.ToPeer{From: "entry-1", Agent: &agent.Message{Flow: &shard.Message[flow.Key, flow.Record]{Gathered: g}}})
 }
 
 func measureBeats(n int) float64 {
