--- a/io/scene/scene.go
+++ b/io/scene/scene.go
@@ -14,6 +14,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -136,8 +137,15 @@
 }
 
 // Names returns the names of the processes that match a pattern, such as
-// entry-* or *, in no order.
+// entry-*, in no order. The pattern leader is the control leader.
 func (s *Scene) Names(pattern string) []string {
+	if pattern == "leader" {
+		status, err := s.API.Status(context.Background())
+		if err != nil {
+			return nil
+		}
+		return []string{status.Leader}
+	}
 	var out []string
 	for name := range s.commands {
 		if ok, err := filepath.Match(pattern, name); ok && err == nil {
@@ -181,6 +189,12 @@
 	}
 }
 
+// IsRunning reports whether a process runs.
+func (s *Scene) IsRunning(name string) bool {
+	_, err := s.process(name)
+	return err == nil
+}
+
 // Signal sends a signal to a process.
 func (s *Scene) Signal(name string, sig syscall.Signal) error {
 	p, err := s.process(name)
@@ -190,6 +204,19 @@
 	return p.cmd.Process.Signal(sig)
 }
 
+// Crash kills a process and waits for its end.
+func (s *Scene) Crash(name string) error {
+	p, err := s.process(name)
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Kill(); err != nil {
+		return fmt.Errorf("crash %s: %w", name, err)
+	}
+	<-p.done
+	return nil
+}
+
 // Stop ends a process by SIGTERM and waits for it. It returns an error when the
 // process fails or does not end in time.
 func (s *Scene) Stop(name string, limit time.Duration) error {
@@ -219,6 +246,14 @@
 	return p, nil
 }
 
+// Wipe removes the data folder of a control replica that does not run.
+func (s *Scene) Wipe(name string) error {
+	if _, err := s.process(name); err == nil {
+		return fmt.Errorf("wipe %s: it still runs", name)
+	}
+	return os.RemoveAll(filepath.Join(s.Site.Dir, name))
+}
+
 // Log returns what a process has written to its log; it must have ended.
 func (s *Scene) Log(name string) string {
 	s.mu.Lock()
--- a/io/scene/scene_test.go
+++ b/io/scene/scene_test.go
@@ -14,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"boragepost/io/conf"
+	"boragepost/io/ctrl"
 	"boragepost/io/demo"
 	"boragepost/io/scene"
 )
@@ -94,8 +95,13 @@
 
 // commands is the scenario language, beside testscript's own commands.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
-	// start PATTERN... starts processes.
-	"start": each(func(s *scene.Scene, name string) error { return s.Start(name) }),
+	// start PATTERN... starts the processes that do not run.
+	"start": each(func(s *scene.Scene, name string) error {
+		if s.IsRunning(name) {
+			return nil
+		}
+		return s.Start(name)
+	}),
 	// ready PATTERN... waits until processes are ready.
 	"ready": each(func(s *scene.Scene, name string) error {
 		if !scene.Wait(20*time.Second, func() bool { return s.IsReady(name) }) {
@@ -105,9 +111,10 @@
 	}),
 	// shutdown PATTERN... ends processes gracefully.
 	"shutdown": each(func(s *scene.Scene, name string) error { return s.Stop(name, 20*time.Second) }),
-	"crash":    signal(syscall.SIGKILL),
-	"freeze":   signal(syscall.SIGSTOP),
-	"thaw":     signal(syscall.SIGCONT),
+	// crash PATTERN... kills processes and waits for their end.
+	"crash":  each(func(s *scene.Scene, name string) error { return s.Crash(name) }),
+	"freeze": signal(syscall.SIGSTOP),
+	"thaw":   signal(syscall.SIGCONT),
 	// apply FILE creates or replaces the services of a file.
 	"apply": func(ts *testscript.TestScript, _ bool, args []string) {
 		services, err := conf.LoadServices(ts.MkAbs(args[0]))
@@ -117,6 +124,34 @@
 			ts.Check(err)
 		}
 	},
+	// wipe PATTERN... removes the data of stopped control replicas.
+	"wipe": each(func(s *scene.Scene, name string) error { return s.Wipe(name) }),
+	// changes SERVICE N changes a service N times, one after another.
+	"changes": func(ts *testscript.TestScript, _ bool, args []string) {
+		api := current(ts).API
+		for range int(number(ts, args[1])) {
+			view, err := api.Service(context.Background(), args[0])
+			ts.Check(err)
+			svc := view.Service
+			svc.LongRoutes = []string{fmt.Sprintf("/long%d", view.Generation%10)}
+			_, err = api.PutService(context.Background(), svc, view.ResourceVersion)
+			ts.Check(err)
+		}
+	},
+	// inForce SERVICE GENERATION waits until a generation is in force in all zones.
+	"inForce": func(ts *testscript.TestScript, _ bool, args []string) {
+		want := number(ts, args[1])
+		var view ctrl.ServiceView
+		ok := scene.Wait(10*time.Second, func() bool {
+			var err error
+			view, err = current(ts).API.Service(context.Background(), args[0])
+			return err == nil && float64(view.Generation) == want && len(view.Status.Zones) == len(current(ts).Site.Zones) &&
+				view.Status.ObservedGeneration == view.Generation
+		})
+		if !ok {
+			ts.Fatalf("generation %v of %s is not in force: %+v", want, args[0], view)
+		}
+	},
 	// drain SERVICE SERVER lets a backend server leave.
 	"drain": func(ts *testscript.TestScript, _ bool, args []string) {
 		_, err := current(ts).API.Drain(context.Background(), args[0], args[1])
--- a/io/stand/orders.go
+++ b/io/stand/orders.go
@@ -70,6 +70,8 @@
 
 // StartOrders places requests until ctx ends.
 func StartOrders(ctx context.Context, cfg OrdersConfig) *Orders {
+	// A caller that is started again places new requests.
+	cfg.Prefix = fmt.Sprintf("%s-%x", cfg.Prefix, time.Now().UnixNano())
 	o := &Orders{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		short: hdrhistogram.New(1, maxLatencyMs*1000, 3),
