--- a/cmd/boragepost/resources.go
+++ b/cmd/boragepost/resources.go
@@ -26,8 +26,8 @@
 	output    string
 }
 
-func (o *operator) client() client.Client {
-	return client.Client{Endpoints: o.endpoints, Actor: o.actor, Attempts: 3}
+func (o *operator) client() *client.Client {
+	return &client.Client{Endpoints: o.endpoints, Actor: o.actor, Attempts: 3}
 }
 
 func addResources(app *kingpin.Application, commands map[string]func(context.Context) error) {
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -2,10 +2,11 @@
 //
 // # Usage
 //
-//	c := client.Client{Endpoints: []string{"127.0.0.1:9101"}, Actor: "ops"}
+//	c := &client.Client{Endpoints: []string{"127.0.0.1:9101"}, Actor: "ops"}
 //	accepted, err := c.PutService(ctx, service, client.Any)
 //
-// A call goes to one endpoint after another until one answers. Changes carry a
+// A call goes to one endpoint after another until one answers, and the next call
+// begins with that one. Changes carry a
 // request identifier, so that a change which is sent twice takes effect once.
 package client
 
@@ -20,6 +21,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"boragepost/core/model"
@@ -31,7 +33,7 @@
 const Any = ^uint64(0)
 
 const (
-	callTimeout = 8 * time.Second
+	callTimeout = 6 * time.Second
 	retryDelay  = 200 * time.Millisecond
 )
 
@@ -42,59 +44,61 @@
 	Actor string
 	// Attempts is the number of rounds over the endpoints; 0 counts as 1.
 	Attempts int
+	// good is the position of the endpoint that answered last.
+	good atomic.Int32
 }
 
 // PutService creates or replaces a service whose present resource version is
 // expect: 0 for a new one, Any for whatever there is. It returns a
 // *ctrl.Problem when the change was refused.
-func (c Client) PutService(ctx context.Context, svc model.Service, expect uint64) (ctrl.Accepted, error) {
+func (c *Client) PutService(ctx context.Context, svc model.Service, expect uint64) (ctrl.Accepted, error) {
 	svc = svc.WithVersion(0, 0)
 	return change(ctx, c, http.MethodPut, "/v1/services/"+svc.Name, svc, expect)
 }
 
 // DeleteService removes a service.
-func (c Client) DeleteService(ctx context.Context, name string, expect uint64) (ctrl.Accepted, error) {
+func (c *Client) DeleteService(ctx context.Context, name string, expect uint64) (ctrl.Accepted, error) {
 	return change(ctx, c, http.MethodDelete, "/v1/services/"+name, nil, expect)
 }
 
 // Drain starts to remove a backend server from its service.
-func (c Client) Drain(ctx context.Context, service, name string) (ctrl.Accepted, error) {
+func (c *Client) Drain(ctx context.Context, service, name string) (ctrl.Accepted, error) {
 	return change(ctx, c, http.MethodPost, "/v1/backendServers/"+service+"/"+name+"/drain", nil, Any)
 }
 
 // Service returns one service.
-func (c Client) Service(ctx context.Context, name string) (ctrl.ServiceView, error) {
+func (c *Client) Service(ctx context.Context, name string) (ctrl.ServiceView, error) {
 	return get[ctrl.ServiceView](ctx, c, "/v1/services/"+name)
 }
 
 // Services returns all services.
-func (c Client) Services(ctx context.Context) (ctrl.List[ctrl.ServiceView], error) {
+func (c *Client) Services(ctx context.Context) (ctrl.List[ctrl.ServiceView], error) {
 	return get[ctrl.List[ctrl.ServiceView]](ctx, c, "/v1/services")
 }
 
 // Servers returns all backend servers.
-func (c Client) Servers(ctx context.Context) (ctrl.List[model.BackendServer], error) {
+func (c *Client) Servers(ctx context.Context) (ctrl.List[model.BackendServer], error) {
 	return get[ctrl.List[model.BackendServer]](ctx, c, "/v1/backendServers")
 }
 
 // Instances returns all entry instances.
-func (c Client) Instances(ctx context.Context) (ctrl.List[model.Instance], error) {
+func (c *Client) Instances(ctx context.Context) (ctrl.List[model.Instance], error) {
 	return get[ctrl.List[model.Instance]](ctx, c, "/v1/instances")
 }
 
 // Status returns what the leader knows of the deployment.
-func (c Client) Status(ctx context.Context) (proto.Status, error) {
+func (c *Client) Status(ctx context.Context) (proto.Status, error) {
 	return get[proto.Status](ctx, c, "/v1/status")
 }
 
 // Audit returns the audit trail from a resource version on.
-func (c Client) Audit(ctx context.Context, from uint64) (ctrl.List[model.Audit], error) {
+func (c *Client) Audit(ctx context.Context, from uint64) (ctrl.List[model.Audit], error) {
 	return get[ctrl.List[model.Audit]](ctx, c, "/v1/audit?from="+strconv.FormatUint(from, 10))
 }
 
 // Watch calls f for each change from a resource version on, until ctx ends or f
 // returns an error. It goes on at another endpoint when one is lost.
-func (c Client) Watch(ctx context.Context, from uint64, f func(model.Audit) error) error {
+func (c *Client) Watch(ctx context.Context, from uint64, f func(model.Audit) error) error {
 	for round := 0; ctx.Err() == nil; round++ {
 		next, err := c.watchOnce(ctx, c.Endpoints[round%len(c.Endpoints)], from, f)
 		from = next
@@ -108,7 +112,7 @@
 
 // watchOnce follows one endpoint and returns the version to continue from. Its
 // error is that of f.
-func (c Client) watchOnce(ctx context.Context, endpoint string, from uint64, f func(model.Audit) error) (uint64, error) {
+func (c *Client) watchOnce(ctx context.Context, endpoint string, from uint64, f func(model.Audit) error) (uint64, error) {
 	url := "http://" + endpoint + "/v1/watch?from=" + strconv.FormatUint(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -133,7 +137,7 @@
 	return from, nil
 }
 
-func change(ctx context.Context, c Client, method, path string, body any, expect uint64) (ctrl.Accepted, error) {
+func change(ctx context.Context, c *Client, method, path string, body any, expect uint64) (ctrl.Accepted, error) {
 	header := http.Header{}
 	header.Set(ctrl.HeaderActor, c.Actor)
 	header.Set(ctrl.HeaderRequestID, strconv.FormatUint(rand.Uint64(), 36))
@@ -144,13 +148,13 @@
 	return call[ctrl.Accepted](ctx, c, method, path, header, body)
 }
 
-func get[T any](ctx context.Context, c Client, path string) (T, error) {
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
 	return call[T](ctx, c, http.MethodGet, path, http.Header{}, nil)
 }
 
 // call tries the endpoints in turn. Only an answer that leaves the outcome open
 // leads to another try.
-func call[T any](ctx context.Context, c Client, method, path string, header http.Header, body any) (T, error) {
+func call[T any](ctx context.Context, c *Client, method, path string, header http.Header, body any) (T, error) {
 	var zero T
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -158,9 +162,12 @@
 	}
 	var last error
 	for range max(c.Attempts, 1) {
-		for _, endpoint := range c.Endpoints {
-			v, err := callOnce[T](ctx, method, "http://"+endpoint+path, header, data)
+		first := int(c.good.Load())
+		for i := range c.Endpoints {
+			at := (first + i) % len(c.Endpoints)
+			v, err := callOnce[T](ctx, method, "http://"+c.Endpoints[at]+path, header, data)
 			if err == nil || isFinal(err) {
+				c.good.Store(int32(at))
 				return v, err
 			}
 			last = err
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -53,7 +53,7 @@
 	flows    *stand.Flows
 	orders   *stand.Orders
 	stop     context.CancelFunc // ends the orders
-	api      client.Client
+	api      *client.Client
 	start    time.Time
 	bytes    int64 // control bytes of entry instances that have been restarted
 	began    time.Time
@@ -84,7 +84,7 @@
 		return Report{}, err
 	}
 	r := &run{opts: opts, site: site, log: opts.Log, ctx: ctx, start: time.Now(),
-		api: client.Client{Endpoints: site.ControlEndpoints(), Actor: "demo", Attempts: 20}}
+		api: &client.Client{Endpoints: site.ControlEndpoints(), Actor: "demo", Attempts: 20}}
 	defer r.close()
 	if err := r.bringUp(); err != nil {
 		return Report{}, fmt.Errorf("bring up the deployment: %w", err)
--- a/io/packet/packet.go
+++ b/io/packet/packet.go
@@ -134,13 +134,15 @@
 	if err := parser.DecodeLayers(inner, &p.layers); err != nil {
 		return flow.Header{}, ErrMalformed
 	}
-	if len(p.layers) < 2 {
-		return flow.Header{}, ErrProtocol
-	}
 	src, dst, fragment := p.addresses()
 	if fragment {
 		return flow.Header{}, ErrFragment
 	}
+	// A packet inside the inner packet would name another flow than the one
+	// whose addresses the backend server sees.
+	if len(p.layers) != 2 {
+		return flow.Header{}, ErrProtocol
+	}
 	return p.transport(src, dst)
 }
 
--- a/io/scene/scene.go
+++ b/io/scene/scene.go
@@ -48,7 +48,7 @@
 // the backend servers, fabric, flows and orders.
 type Scene struct {
 	Site     *demo.Site
-	API      client.Client
+	API      *client.Client
 	programs Programs
 	dir      string
 	seed     uint64
@@ -75,7 +75,7 @@
 	s := &Scene{
 		Site: site, programs: p, dir: dir, seed: seed,
 		running: map[string]*process{}, reports: map[string]netip.AddrPort{}, commands: map[string][]string{},
-		API: client.Client{Endpoints: site.ControlEndpoints(), Actor: "scenario", Attempts: 30},
+		API: &client.Client{Endpoints: site.ControlEndpoints(), Actor: "scenario", Attempts: 30},
 	}
 	return s, s.writeFiles()
 }
