Keep flows whole without a quorum, and write the pages

With two of three control replicas lost for 14 s, 561 flows broke and 117 requests got no outcome: instances without a lease decided on moving buckets by the table alone, stopped using all backend servers 10 s after their lease because nothing verified them, and waited for claims until the caller had given up.

Ruled out: letting islands ask the record keepers, alone (3 broken); deciding alone for the base while keepers still answered the new owner (0 and 3 broken: a first packet that was held for 300 ms was repeated through another instance).

Change: an island asks the record keepers, and islands that are keepers answer; where none answers within 300 ms, and at keepers without a lease, new flows stay with the base. Instances without a lease verify backend servers by their health endpoint. The gateway answers 200 ms before the caller's deadline.

Conclusion: without a quorum every instance must assume the same of a flow that it does not know; only the base can be that.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -94,11 +94,11 @@
 func New(cfg Config) *Agent {
 	a := &Agent{self: cfg.Self, balancer: flow.NewBalancer(cfg.Limits), fetches: map[string]*fetch{}}
 	a.questions.init()
-	a.keeper = flow.Keeper{View: a.balancer.View}
+	a.keeper = flow.Keeper{View: a.balancer.View, Island: a.balancer.IsIsland}
 	a.store = shard.New(shard.Config[flow.Key, flow.Record]{
 		Self: cfg.Self, Copies: cfg.Copies, Salt: "flow", ShardOf: flow.ShardOf, Decide: a.keeper.Decide,
 		Extra:    a.balancer.Known,
-		Fenced:   func() bool { return !a.balancer.HasLease(a.now) },
+		Fenced:   func() bool { return !a.balancer.Serving(a.now) },
 		Answered: a.onAnswer,
 	})
 	return a
--- a/core/agent/question.go
+++ b/core/agent/question.go
@@ -15,6 +15,8 @@
 	maxHeldPackets   = 4 // per question
 	questionTimeout  = 3 * time.Second
 	questionInterval = 100 * time.Millisecond
+	// islandPatience is how long an island waits for a keeper.
+	islandPatience = 300 * time.Millisecond
 )
 
 // Query is a packet that the balancer could not decide, or a flow that it
@@ -154,11 +156,28 @@
 	}
 }
 
+// answerAlone ends a question whose keeper does not answer an island. The flow is
+// reported once the instance is a member again.
+func (a *Agent) answerAlone(q *question) {
+	a.questions.drop(q)
+	if len(q.packets) == 0 {
+		return // a report; the next packet of the flow repeats it
+	}
+	v := a.balancer.DecideAlone(a.now, q.header)
+	for _, p := range q.packets {
+		a.out.Packets = append(a.out.Packets, Held{Verdict: v, Packet: p})
+	}
+}
+
 // retryQuestions asks unanswered questions again. A question that belongs to a
 // preparation is repeated until it is answered; others end, and the caller's
 // retransmission starts anew.
 func (a *Agent) retryQuestions() {
 	for _, q := range a.questions.inOrder() {
+		if a.balancer.IsIsland() && a.now-q.since > nanos(islandPatience) && !q.prepare {
+			a.answerAlone(q)
+			continue
+		}
 		if a.now-q.since > nanos(questionTimeout) && !q.prepare {
 			a.counts.Expired++
 			a.questions.drop(q)
--- a/core/flow/balancer.go
+++ b/core/flow/balancer.go
@@ -125,6 +125,9 @@
 // that it must serve its callers with what it knows.
 func (b *Balancer) SetIsland(on bool) { b.island.Store(on) }
 
+// IsIsland reports whether the instance serves without a lease.
+func (b *Balancer) IsIsland() bool { return b.island.Load() }
+
 // SetVerified tells the balancer when each backend server last proved its
 // identity to this instance. The map must not change afterwards.
 func (b *Balancer) SetVerified(at map[model.ServerID]int64) { b.verified.Store(&at) }
@@ -174,8 +177,7 @@
 	}
 	v := b.forward(now, route, key, r.server)
 	bucket := route.Table.Bucket(uint64(key))
-	moving := bucket.Stage != table.Closed && bucket.Owner != r.server
-	if moving && r.flags&(flagReported|flagHalfOpen) == 0 && v.Action == Forward {
+	if bucket.Stage != table.Closed && r.flags&(flagReported|flagHalfOpen) == 0 && v.Action == Forward {
 		// The flag that ends the reports is set by the keeper's answer.
 		v.Report = true
 		v.Question = Record{Route: route.ID, Server: r.server, UDP: h.Protocol == UDP}
@@ -191,17 +193,37 @@
 	if route.Table.Len() == 0 {
 		return Verdict{Reason: NoServer, Key: key}
 	}
-	leased := b.HasLease(now)
-	if !leased && !b.island.Load() {
+	if !b.Serving(now) {
 		return Verdict{Reason: NoLease, Key: key}
 	}
 	bucket := route.Table.Bucket(uint64(key))
-	alone := bucket.Stage == table.Closed && bucket.Since <= route.fetched.Load()
-	if leased && !alone {
+	if bucket.Stage != table.Closed || bucket.Since > route.fetched.Load() {
 		return Verdict{Action: Query, Key: key, Question: Record{
 			Route: route.ID, Start: h.Start, UDP: h.Protocol == UDP}}
 	}
-	server := bucket.Choose(route.starts(bucket, h.Start, h.Protocol == UDP))
+	return b.choose(now, route, s, key, h, bucket.Owner)
+}
+
+// DecideAlone returns the verdict on a packet whose question has found no
+// answer, from the bucket table alone. An island uses it when the record keeper
+// is out of reach. New flows go to the base of a moving bucket like all others:
+// a keeper that another instance can still reach takes their next packets for
+// those of an old flow.
+func (b *Balancer) DecideAlone(now int64, h Header) Verdict {
+	key := h.Key()
+	s := b.flows.stripe(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	route := b.view.Load().Routes[h.Dest]
+	if route == nil || route.Table.Len() == 0 {
+		return Verdict{Reason: NoService, Key: key}
+	}
+	return b.choose(now, route, s, key, h, route.Table.Bucket(uint64(key)).Choose(false))
+}
+
+// choose gives a flow to a backend server and remembers it. The stripe must be
+// locked.
+func (b *Balancer) choose(now int64, route *Route, s *stripe, key Key, h Header, server model.ServerID) Verdict {
 	if !route.lives(server) {
 		return Verdict{Reason: NoServer, Key: key}
 	}
--- /dev/null
+++ b/io/demo/docs_test.go
@@ -0,0 +1,124 @@
+package demo_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"boragepost/core/model"
+	"boragepost/io/conf"
+	"boragepost/io/ctrl"
+	"boragepost/io/demo"
+	"boragepost/io/entry"
+	"boragepost/io/logs"
+)
+
+const root = "../../"
+
+func operatingPage(g *WithT) string {
+	page, err := os.ReadFile(root + "docs/OPERATING.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	return string(page)
+}
+
+// TestExamplesAreValid checks the example files of both deployments.
+func TestExamplesAreValid(t *testing.T) {
+	g := NewWithT(t)
+	files, err := filepath.Glob(root + "examples/*/*.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).To(HaveLen(6))
+	for _, f := range files {
+		_, err := conf.Check(f)
+		g.Expect(err).NotTo(HaveOccurred(), f)
+	}
+}
+
+// TestEverySettingIsDocumented compares the settings with the operators' page.
+func TestEverySettingIsDocumented(t *testing.T) {
+	g := NewWithT(t)
+	page := operatingPage(g)
+	for _, v := range []any{conf.Entry{}, conf.Control{}, model.Service{}} {
+		for _, name := range settingNames(reflect.TypeOf(v), "") {
+			g.Expect(page).To(ContainSubstring("| `"+name+"` |"), name)
+		}
+	}
+}
+
+func settingNames(t reflect.Type, prefix string) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := f.Tag.Get("yaml")
+		switch {
+		case name == "-":
+		case f.Type.Kind() == reflect.Struct && strings.HasPrefix(f.Type.PkgPath(), "boragepost/io/conf"):
+			out = append(out, settingNames(f.Type, prefix+name+".")...)
+		default:
+			out = append(out, prefix+name)
+		}
+	}
+	return out
+}
+
+// TestEveryMetricIsDocumented compares what both roles serve with the operators'
+// page.
+func TestEveryMetricIsDocumented(t *testing.T) {
+	g := NewWithT(t)
+	page := operatingPage(g)
+	site, err := demo.NewSite(t.TempDir(), 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	replica, err := ctrl.Start(ctx, ctrl.Config{Settings: site.Controls[0], Log: logs.Discard()})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer replica.Close()
+	e, err := entry.Start(ctx, entry.Config{Settings: site.Entries[0], Log: logs.Discard()})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer e.Close()
+	names := regexp.MustCompile(`(?m)^# TYPE (boragepost_\w+)`)
+	for _, addr := range []string{site.Controls[0].Listen.String(), site.Entries[0].Peer.String()} {
+		resp, err := http.Get("http://" + addr + "/metrics")
+		g.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		g.Expect(err).NotTo(HaveOccurred())
+		found := names.FindAllStringSubmatch(string(body), -1)
+		g.Expect(len(found)).To(BeNumerically(">", 4))
+		for _, m := range found {
+			g.Expect(page).To(ContainSubstring("`" + m[1] + "`"))
+		}
+	}
+}
+
+// TestEveryLogEventIsDocumented compares the event names in the source with the
+// operators' page.
+func TestEveryLogEventIsDocumented(t *testing.T) {
+	g := NewWithT(t)
+	page := operatingPage(g)
+	call := regexp.MustCompile(`\.(?:Info|Warn|Error)\("(\w+)"\)`)
+	count := 0
+	err := filepath.WalkDir(root+"io", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range call.FindAllStringSubmatch(string(source), -1) {
+			count++
+			g.Expect(page).To(ContainSubstring("`" + m[1] + "`"))
+		}
+		return nil
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(count).To(BeNumerically(">", 10))
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -79,6 +79,7 @@
 	peers    map[model.InstanceID]peer
 	lease    leaseKeeper
 	beat     lastBeat
+	prober   prober
 	claiming map[uint64]*claimCall
 	calls    map[uint64]func(proto.Announced)
 	renewals map[model.ServerID]bool
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -44,6 +44,7 @@
 	e.balancer.SetIsland(e.lease.tick(now, e.balancer.HasLease(now)))
 	e.carryOut(e.agent.Tick(now))
 	e.confirmEarly()
+	e.probeWithoutLease(now)
 	e.retryClaims(now)
 	if e.ticks%beatTicks == 0 {
 		e.sendBeat()
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -67,7 +67,7 @@
 		g.refuseBody(w, service, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(req.Context(), timeout)
+	ctx, cancel := context.WithTimeout(req.Context(), timeout-min(timeout/10, answerMargin))
 	defer cancel()
 	c := &call{pool: p, service: service, req: req, body: body, id: requestID(req), safe: isIdempotent(req.Method)}
 	p.started()
@@ -79,6 +79,10 @@
 	g.seconds.WithLabelValues(service).Observe(time.Since(start).Seconds())
 }
 
+// answerMargin is kept of the caller's time, so that it learns the outcome before
+// it gives up.
+const answerMargin = 200 * time.Millisecond
+
 func (g *Gateway) refuseBody(w http.ResponseWriter, service string, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -2,7 +2,7 @@
 // pairs for each event. The message of a line is the event's stable name.
 //
 //	log := logs.New(os.Stderr, "info").WithField("instance", "entry-1")
-//	log.WithField("version", 12).Info("configurationApplied")
+//	log.WithField("index", 12).Info("snapshotSaved")
 package logs
 
 import (
--- a/io/scene/scene_test.go
+++ b/io/scene/scene_test.go
@@ -79,6 +79,9 @@
 // Skip, Fatal and FailNow are those of testing.T.
 var _ testscript.T = sequential{}
 
+// drained holds when drains were accepted, by backend server.
+var drained = map[string]time.Time{}
+
 const sceneKey = "scene"
 
 func setup(env *testscript.Env) error {
@@ -156,6 +159,24 @@
 	"drain": func(ts *testscript.TestScript, _ bool, args []string) {
 		_, err := current(ts).API.Drain(context.Background(), args[0], args[1])
 		ts.Check(err)
+		drained[args[1]] = time.Now()
+	},
+	// noNewFlow SERVER DURATION checks that a draining backend server has taken no
+	// new flow since a duration after the drain was accepted.
+	"noNewFlow": func(ts *testscript.TestScript, _ bool, args []string) {
+		limit, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		ledgers, err := current(ts).Ledgers()
+		ts.Check(err)
+		for _, l := range ledgers {
+			last := time.UnixMilli(l.NewFlowAt)
+			if l.Server == args[0] && last.After(drained[args[0]].Add(limit)) {
+				ts.Fatalf("%s took a new flow %v after its drain", args[0], last.Sub(drained[args[0]]))
+			}
+		}
+		if time.Since(drained[args[0]]) <= limit {
+			ts.Fatalf("too early to tell")
+		}
 	},
 	// servers N waits until N backend servers are announced.
 	"servers": func(ts *testscript.TestScript, _ bool, args []string) {
