--- /dev/null
+++ b/io/ctrl/race_test.go
@@ -0,0 +1,181 @@
+package ctrl_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragepost/io/client"
+	"boragepost/io/ctrl"
+	"boragepost/io/demo"
+	"boragepost/io/logs"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+var _ = Describe("three control replicas", func() {
+	var site *demo.Site
+	var replicas []*ctrl.Replica
+	var api *client.Client
+	var ctx context.Context
+
+	start := func(i int) {
+		r, err := ctrl.Start(ctx, ctrl.Config{Settings: site.Controls[i], Log: logs.Discard()})
+		Expect(err).NotTo(HaveOccurred())
+		replicas[i] = r
+	}
+
+	BeforeEach(func() {
+		var err error
+		site, err = demo.NewSite(GinkgoT().TempDir(), 1)
+		Expect(err).NotTo(HaveOccurred())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		replicas = make([]*ctrl.Replica, len(site.Controls))
+		for i := range replicas {
+			site.Controls[i].SnapshotEvery = 100
+			start(i)
+		}
+		DeferCleanup(func() {
+			for _, r := range replicas {
+				r.Close()
+			}
+		})
+		api = &client.Client{Endpoints: site.ControlEndpoints(), Actor: "test", Attempts: 50}
+		_, err = api.PutService(ctx, site.Services[0], 0)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("let exactly one of two operators with equal numbers win, each time", func() {
+		const races = 1000
+		version := uint64(0)
+		for i := range races {
+			view, err := api.Service(ctx, "comptoir")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(view.ResourceVersion).To(BeNumerically(">", version))
+			version = view.ResourceVersion
+			Expect(view.Generation).To(Equal(uint64(i + 1)))
+			expectOneWinner(ctx, site, view)
+		}
+		trail, err := api.Audit(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		accepted, refused := 0, 0
+		for _, a := range trail.Items {
+			switch {
+			case a.Action == "put" && a.Outcome == "accepted":
+				accepted++
+			case a.Action == "put":
+				refused++
+			}
+		}
+		Expect(accepted).To(Equal(races + 1))
+		Expect(refused).To(Equal(races))
+	})
+
+	It("give the first answer to a resend after a failover, a snapshot and a restart", func() {
+		view, err := api.Service(ctx, "comptoir")
+		Expect(err).NotTo(HaveOccurred())
+		first := put(site.ControlEndpoints()[0], view, "the-request")
+		Expect(first).To(ContainSubstring(`"generation":2`))
+		for range 150 { // more than the entries between two snapshots
+			view, err = api.Service(ctx, "comptoir")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = api.PutService(ctx, view.Service, view.ResourceVersion)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for i := range replicas {
+			Expect(replicas[i].Close()).To(Succeed())
+			start(i)
+			Eventually(func() error { _, err := api.Status(ctx); return err }, "10s").Should(Succeed())
+		}
+		for _, endpoint := range site.ControlEndpoints() {
+			Eventually(func() string { return put(endpoint, view, "the-request") }, "10s").Should(Equal(first))
+		}
+	})
+
+	It("accept nothing without a quorum, and say so", func() {
+		view, err := api.Service(ctx, "comptoir")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replicas[1].Close()).To(Succeed())
+		Expect(replicas[2].Close()).To(Succeed())
+		alone := &client.Client{Endpoints: site.ControlEndpoints()[:1], Actor: "test"}
+		Eventually(func() string {
+			_, err := alone.PutService(ctx, view.Service, view.ResourceVersion)
+			return fmt.Sprint(err)
+		}, "15s").Should(ContainSubstring("noQuorum"))
+		start(1)
+		start(2)
+		Eventually(func() error {
+			now, err := api.Service(ctx, "comptoir")
+			if err == nil && now.Generation > view.Generation+1 {
+				Fail("refused changes took effect more than once")
+			}
+			return err
+		}, "10s").Should(Succeed())
+	})
+})
+
+// expectOneWinner sends two changes with equal numbers through two replicas.
+func expectOneWinner(ctx context.Context, site *demo.Site, view ctrl.ServiceView) {
+	var wg sync.WaitGroup
+	errs := make([]error, 2)
+	for i := range errs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &client.Client{Endpoints: site.ControlEndpoints()[i : i+1], Actor: fmt.Sprint("operator-", i), Attempts: 20}
+			svc := view.Service
+			svc.LongRoutes = []string{fmt.Sprint("/long-", i)}
+			_, errs[i] = c.PutService(ctx, svc, view.ResourceVersion)
+		}()
+	}
+	wg.Wait()
+	winners := 0
+	for _, err := range errs {
+		var p *ctrl.Problem
+		switch {
+		case err == nil:
+			winners++
+		case errors.As(err, &p):
+			Expect(p.Status).To(Equal(http.StatusConflict))
+			Expect(p.Expected).To(Equal(view.ResourceVersion))
+			Expect(p.Current).To(BeNumerically(">", view.ResourceVersion))
+		default:
+			Fail(err.Error())
+		}
+	}
+	Expect(winners).To(Equal(1))
+}
+
+// put sends a change with a request identifier and returns the answer's body.
+func put(endpoint string, view ctrl.ServiceView, requestID string) string {
+	body := fmt.Sprintf(`{"name":"comptoir","address":%q,"sharing":"twoChoices","idleTimeout":"5s","drainTimeout":"1m"}`,
+		view.Address.String())
+	req, err := http.NewRequest(http.MethodPut, "http://"+endpoint+"/v1/services/comptoir", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("If-Match", fmt.Sprint(view.ResourceVersion))
+	req.Header.Set(ctrl.HeaderRequestID, requestID)
+	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
