Let islands wait until their keepers are islands too

Instances lose their leases up to half a second apart, and an island waited 300 ms for a record keeper before it gave a flow to the base, also a flow that the keeper had recorded for the new owner.

Ruled out: repeated first packets, which go to the base everywhere by now.

Change: an island waits 1.5 s.

Conclusion: the wait must exceed the spread of the lease ends. In a zone that is cut off, the first packets of flows in moving buckets take 1.5 s longer.

--- a/core/agent/question.go
+++ b/core/agent/question.go
@@ -15,8 +15,10 @@
 	maxHeldPackets   = 4 // per question
 	questionTimeout  = 3 * time.Second
 	questionInterval = 100 * time.Millisecond
-	// islandPatience is how long an island waits for a keeper.
-	islandPatience = 300 * time.Millisecond
+	// islandPatience is how long an island waits for a keeper. Instances that
+	// lose the same leader become islands within half a second of each other;
+	// the keeper answers when it has become one too.
+	islandPatience = 1500 * time.Millisecond
 )
 
 // Query is a packet that the balancer could not decide, or a flow that it
