Share waiting, split long files, and give the documented exit code

A wrong command line ended with 1 where OPERATING says 2, and the error of a lost race left out the two versions.

Ruled out: one TestMain for both property tests; a shared package would exist for six lines.

--- a/cmd/boragepost/main.go
+++ b/cmd/boragepost/main.go
@@ -33,13 +33,11 @@
 		fmt.Println("boragepost", version)
 		return nil
 	}
-	app.Terminate(func(code int) {
-		if code != 0 {
-			code = exitUsage
-		}
-		os.Exit(code)
-	})
-	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	name, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "boragepost: %v; boragepost --help lists the commands\n", err)
+		os.Exit(exitUsage)
+	}
 	if err := commands[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "boragepost:", err)
 		os.Exit(exitCode(err))
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -27,6 +27,7 @@
 	"boragepost/core/model"
 	"boragepost/io/ctrl"
 	"boragepost/io/proto"
+	"boragepost/io/timer"
 )
 
 // Any as an expected resource version overwrites whatever there is.
@@ -105,7 +106,7 @@
 		if err != nil {
 			return err
 		}
-		pause(ctx, retryDelay)
+		timer.Sleep(ctx, retryDelay)
 	}
 	return ctx.Err()
 }
@@ -172,7 +173,7 @@
 			}
 			last = err
 		}
-		pause(ctx, retryDelay)
+		timer.Sleep(ctx, retryDelay)
 		if ctx.Err() != nil {
 			break
 		}
@@ -222,12 +223,3 @@
 	p.Status = resp.StatusCode
 	return p
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/ctrl/api.go
+++ b/io/ctrl/api.go
@@ -58,6 +58,9 @@
 	for _, f := range p.Fields {
 		text += "; " + f.Error()
 	}
+	if p.Expected != p.Current {
+		text += fmt.Sprintf(": expected resource version %d, current is %d", p.Expected, p.Current)
+	}
 	return text
 }
 
--- /dev/null
+++ b/io/ctrl/forward.go
@@ -0,0 +1,156 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"boragepost/core/leader"
+	"boragepost/core/model"
+	"boragepost/core/quorum"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+// Submit proposes a command through the leader, wherever it is, and waits for
+// its result. It returns ErrNoQuorum or ErrTimeout when there is none.
+func (r *Replica) Submit(ctx context.Context, c model.Command) (model.Result, error) {
+	reply, err := r.ask(ctx, proto.Forward{Command: &c})
+	if err != nil {
+		return model.Result{}, err
+	}
+	if reply.Result == nil {
+		return model.Result{}, ErrTimeout
+	}
+	return *reply.Result, nil
+}
+
+// ask sends a request to the leader and waits for the reply.
+func (r *Replica) ask(ctx context.Context, f proto.Forward) (proto.Reply, error) {
+	got := make(chan proto.Reply, 1)
+	if !r.post(func() { r.toLeader(f, func(reply proto.Reply) { got <- reply }) }) {
+		return proto.Reply{}, ErrNoQuorum
+	}
+	timer := time.NewTimer(submitTimeout)
+	defer timer.Stop()
+	select {
+	case reply := <-got:
+		if reply.Error != "" {
+			return reply, fmt.Errorf("%w: %s", ErrNoQuorum, reply.Error)
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return proto.Reply{}, ErrTimeout
+	case <-timer.C:
+		return proto.Reply{}, ErrTimeout
+	}
+}
+
+// toLeader answers a request here or sends it on to the leader. done is called
+// at most once.
+func (r *Replica) toLeader(f proto.Forward, done func(proto.Reply)) {
+	if r.node.Role() == quorum.Leader {
+		r.serveForward(f, done)
+		return
+	}
+	peer := r.peers[r.node.Leader()]
+	if peer == nil {
+		done(proto.Reply{Error: "there is no leader"})
+		return
+	}
+	r.replyID++
+	f.ID, f.From = r.replyID, r.cfg.Settings.Name
+	r.replies[f.ID] = done
+	r.dropOldReplies()
+	if !peer.Send(proto.ToReplica{Forward: &f}) {
+		delete(r.replies, f.ID)
+		done(proto.Reply{Error: "the leader is not linked"})
+	}
+}
+
+const maxReplies = 1 << 14
+
+func (r *Replica) dropOldReplies() {
+	if len(r.replies) <= maxReplies {
+		return
+	}
+	for id := range r.replies {
+		if id+maxReplies/2 < r.replyID {
+			delete(r.replies, id)
+		}
+	}
+}
+
+// serveForward answers a request at the leader.
+func (r *Replica) serveForward(f proto.Forward, done func(proto.Reply)) {
+	if r.duties == nil || !r.node.HasLease() {
+		done(proto.Reply{ID: f.ID, Error: "the leader has no quorum"})
+		return
+	}
+	switch {
+	case f.Command != nil:
+		r.propose(*f.Command, func(result *model.Result) {
+			reply := proto.Reply{ID: f.ID, Result: result}
+			if result == nil {
+				reply.Error = "leadership was lost"
+			}
+			done(reply)
+		})
+	case f.Beat != nil:
+		grant := proto.Grant{Commit: r.node.Commit()}
+		if r.duties.Beat(r.now(), *f.Beat, r.state) {
+			timing := leader.Timing{InstanceLease: time.Duration(r.cfg.Settings.InstanceLease)}
+			grant.LeaseMs = timing.WithDefaults().InstanceLease.Milliseconds()
+		}
+		done(proto.Reply{ID: f.ID, Grant: &grant})
+	case len(f.Renew) > 0:
+		r.duties.Renew(r.now(), f.Renew)
+		done(proto.Reply{ID: f.ID})
+	case f.Status:
+		done(proto.Reply{ID: f.ID, Status: &proto.Status{
+			Leader: r.cfg.Settings.Name, Term: r.node.Term(), Commit: r.node.Commit(),
+			Zones: r.duties.Applied(r.now()),
+		}})
+	default:
+		done(proto.Reply{ID: f.ID, Error: "empty request"})
+	}
+}
+
+// serveReplica handles the link of another control replica.
+func (r *Replica) serveReplica(c *links.Conn[proto.ToReplica, proto.ToReplica]) {
+	for m := range c.Messages() {
+		if !r.post(func() { r.onReplica(m) }) {
+			return
+		}
+	}
+}
+
+func (r *Replica) onReplica(m proto.ToReplica) {
+	switch {
+	case m.Quorum != nil:
+		if _, known := r.peers[m.Quorum.From]; known {
+			r.node.Step(*m.Quorum)
+		}
+	case m.Forward != nil:
+		peer := r.peers[m.Forward.From]
+		if peer == nil {
+			return
+		}
+		id := m.Forward.ID
+		reply := func(reply proto.Reply) {
+			reply.ID = id
+			peer.Send(proto.ToReplica{Reply: &reply})
+		}
+		if r.node.Role() != quorum.Leader {
+			reply(proto.Reply{Error: "not the leader"})
+			return
+		}
+		r.serveForward(*m.Forward, reply)
+	case m.Reply != nil:
+		done := r.replies[m.Reply.ID]
+		delete(r.replies, m.Reply.ID)
+		if done != nil {
+			done(*m.Reply)
+		}
+	}
+}
--- a/io/ctrl/race_test.go
+++ b/io/ctrl/race_test.go
@@ -153,6 +153,7 @@
 			Expect(p.Status).To(Equal(http.StatusConflict))
 			Expect(p.Expected).To(Equal(view.ResourceVersion))
 			Expect(p.Current).To(BeNumerically(">", view.ResourceVersion))
+			Expect(p.Error()).To(HaveSuffix(fmt.Sprintf("expected resource version %d, current is %d", p.Expected, p.Current)))
 		default:
 			Fail(err.Error())
 		}
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -15,6 +15,7 @@
 	"boragepost/io/entry"
 	"boragepost/io/logs"
 	"boragepost/io/stand"
+	"boragepost/io/timer"
 )
 
 // Options of a demo run. Zero values take defaults.
@@ -135,11 +136,11 @@
 		}
 		r.servers = append(r.servers, server)
 	}
-	if err := waitUntil(r.ctx, "entry instances and backend servers", r.isUp); err != nil {
+	if err := timer.Until(r.ctx, "entry instances and backend servers", r.isUp); err != nil {
 		return err
 	}
 	r.progress("6 entry instances are ready, 18 backend servers have announced themselves")
-	sleep(r.ctx, settleTime)
+	timer.Sleep(r.ctx, settleTime)
 	return r.startCallers()
 }
 
@@ -164,7 +165,7 @@
 		Timeout: orderTimeout, Prefix: fmt.Sprintf("order-%d", r.opts.Seed), Seed: r.opts.Seed,
 	})
 	r.began = time.Now()
-	sleep(r.ctx, 2*time.Second)
+	timer.Sleep(r.ctx, 2*time.Second)
 	r.progress("%d flows are open", r.flows.Report().Open)
 	return nil
 }
@@ -185,7 +186,7 @@
 		return fmt.Errorf("drain catalogue-2: %w", err)
 	}
 	r.progress("catalogue-2 drains")
-	sleep(r.ctx, 3*time.Second)
+	timer.Sleep(r.ctx, 3*time.Second)
 	r.stop()
 	r.orders.Wait()
 	return nil
@@ -203,7 +204,7 @@
 		return fmt.Errorf("restart %s: %w", r.site.Entries[i].Name, err)
 	}
 	r.entries[i] = e
-	if err := waitUntil(r.ctx, "the restarted entry instance", e.Ready); err != nil {
+	if err := timer.Until(r.ctx, "the restarted entry instance", e.Ready); err != nil {
 		return err
 	}
 	r.progress("%s was restarted", r.site.Entries[i].Name)
@@ -220,10 +221,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/io/demo/site.go
+++ b/io/demo/site.go
@@ -9,7 +9,6 @@
 package demo
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -199,16 +198,3 @@
 	}
 	return out
 }
-
-// waitUntil calls ok until it returns true. It returns an error naming what was
-// waited for when ctx ends first.
-func waitUntil(ctx context.Context, what string, ok func() bool) error {
-	for !ok() {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait for %s: %w", what, ctx.Err())
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-	return nil
-}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -35,6 +35,7 @@
 	"boragepost/io/gate"
 	"boragepost/io/links"
 	"boragepost/io/proto"
+	"boragepost/io/timer"
 )
 
 const (
@@ -192,7 +193,7 @@
 	if grace == 0 {
 		grace = defaultShutdownGrace
 	}
-	pause(ctx, grace)
+	timer.Sleep(ctx, grace)
 	if err := e.gateway.Drain(ctx); err != nil {
 		return fmt.Errorf("finish requests: %w", err)
 	}
@@ -200,9 +201,9 @@
 	e.post(e.sendBeat)
 	limit := time.Now().Add(leaveTimeout)
 	for e.isMember(e.self.ID) && time.Now().Before(limit) && ctx.Err() == nil {
-		pause(ctx, leavePoll)
+		timer.Sleep(ctx, leavePoll)
 	}
-	pause(ctx, handOver)
+	timer.Sleep(ctx, handOver)
 	e.log.Info("shutdownFinished")
 	return nil
 }
@@ -214,15 +215,6 @@
 	handOver = 300 * time.Millisecond
 )
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close ends the instance at once.
 func (e *Entry) Close() {
 	e.cancel()
--- a/io/packet/packet.go
+++ b/io/packet/packet.go
@@ -227,20 +227,20 @@
 func (p *Parser) quotedAddresses(b []byte) (src, dst netip.Addr, proto uint8, rest []byte, err error) {
 	switch b[0] >> 4 {
 	case 4:
-		if p.v4.DecodeFromBytes(b, gopacket.NilDecodeFeedback) != nil {
-			return src, dst, 0, nil, ErrMalformed
-		}
+		err = p.v4.DecodeFromBytes(b, gopacket.NilDecodeFeedback)
+		proto, rest = uint8(p.v4.Protocol), p.v4.Payload
 		src, _ = netip.AddrFromSlice(p.v4.SrcIP)
 		dst, _ = netip.AddrFromSlice(p.v4.DstIP)
-		return src, dst, uint8(p.v4.Protocol), p.v4.Payload, nil
 	case 6:
-		if p.v6.DecodeFromBytes(b, gopacket.NilDecodeFeedback) != nil {
-			return src, dst, 0, nil, ErrMalformed
-		}
+		err = p.v6.DecodeFromBytes(b, gopacket.NilDecodeFeedback)
+		proto, rest = uint8(p.v6.NextHeader), p.v6.Payload
 		src, _ = netip.AddrFromSlice(p.v6.SrcIP)
 		dst, _ = netip.AddrFromSlice(p.v6.DstIP)
-		return src, dst, uint8(p.v6.NextHeader), p.v6.Payload, nil
 	default:
+		err = ErrMalformed
+	}
+	if err != nil {
 		return src, dst, 0, nil, ErrMalformed
 	}
+	return src, dst, proto, rest, nil
 }
--- a/io/stand/fabric.go
+++ b/io/stand/fabric.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"boragepost/io/timer"
 )
 
 // FabricConfig describes a fabric and its faults.
@@ -131,7 +133,7 @@
 		}
 		wg.Wait()
 		f.setReady(states)
-		sleep(ctx, readyInterval)
+		timer.Sleep(ctx, readyInterval)
 	}
 }
 
@@ -158,12 +160,3 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/stand/server.go
+++ b/io/stand/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"boragepost/io/entry"
+	"boragepost/io/timer"
 )
 
 // ServerConfig describes a backend server.
@@ -187,7 +188,7 @@
 			wait /= 10
 		}
 		next++
-		sleep(ctx, wait)
+		timer.Sleep(ctx, wait)
 	}
 }
 
@@ -236,7 +237,7 @@
 	s.mu.Lock()
 	s.ledger.Runs[key]++
 	s.mu.Unlock()
-	sleep(req.Context(), s.serviceTime(req))
+	timer.Sleep(req.Context(), s.serviceTime(req))
 	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	fmt.Fprintf(w, "%s %s ran %s %s\n", s.cfg.Service, s.cfg.Name, key, body)
 }
--- /dev/null
+++ b/io/timer/timer.go
@@ -0,0 +1,35 @@
+// Package timer waits for time to pass or for a context to end.
+//
+//	timer.Sleep(ctx, time.Second)
+//	err := timer.Until(ctx, "the leader", func() bool { return hasLeader() })
+package timer
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const pollInterval = 50 * time.Millisecond
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Until polls ok until it returns true. It returns an error that names what was
+// waited for when ctx ends first.
+func Until(ctx context.Context, what string, ok func() bool) error {
+	for !ok() {
+		if ctx.Err() != nil {
+			return fmt.Errorf("wait for %s: %w", what, ctx.Err())
+		}
+		Sleep(ctx, pollInterval)
+	}
+	return nil
+}
