Remove what nothing uses

Cause: a newcomer's reading found functions, a counter and a field without a use, and a usage example that names a method which does not exist.

Ruled out: keeping the reported load for later; no policy reads it, and the gateway never set it.

Change: they are gone; the example names WithVersion.

Conclusion: behaviour is unchanged.

--- a/core/model/model.go
+++ b/core/model/model.go
@@ -11,7 +11,7 @@
 // Values are treated as immutable once they are shared. A changed copy comes
 // from a With method:
 //
-//	next := svc.WithGeneration(svc.Generation + 1)
+//	next := svc.WithVersion(svc.Generation+1, index)
 package model
 
 import (
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -106,7 +106,6 @@
 	writes  map[uint64]*write[K, V]
 	byKey   map[K]*write[K, V]
 	seq     uint64
-	gathers uint64 // number of gathers begun, for measurement
 	// early holds messages that came before this store was ready for them.
 	early []received[K, V]
 }
@@ -303,7 +302,6 @@
 			p.waiting[id] = true
 		}
 	}
-	s.gathers++
 }
 
 // dropLostReplicas completes the writes that waited only for replicas that are
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -22,8 +22,6 @@
 	Slots int
 	// InFlight is the number of this gateway's requests at the backend server.
 	InFlight int
-	// Reported is the load that the backend server last reported, in requests.
-	Reported int
 	// Latency is the smoothed time of this gateway's latest answers.
 	Latency time.Duration
 	// SameZone is set when no link between availability zones is crossed.
@@ -32,8 +30,8 @@
 	Age time.Duration
 }
 
-// load is the estimated number of requests a slot at the candidate. The
-// gateway's own count goes before the report, which may lag or mislead.
+// load is the estimated number of requests a slot at the candidate, by the
+// gateway's own count. What a backend server reports may lag or mislead.
 func (c Candidate) load() float64 {
 	slots := float64(max(c.Slots, 1))
 	work := float64(c.InFlight)
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -205,13 +205,6 @@
 	return conn != nil && conn.Send(m)
 }
 
-// Connected reports whether there is a connection now.
-func (c *Client[S, R]) Connected() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.conn != nil
-}
-
 // Reset drops the present connection; the client dials again.
 func (c *Client[S, R]) Reset() {
 	c.mu.Lock()
--- a/io/scene/scene.go
+++ b/io/scene/scene.go
@@ -254,16 +254,6 @@
 	return os.RemoveAll(filepath.Join(s.Site.Dir, name))
 }
 
-// Log returns what a process has written to its log; it must have ended.
-func (s *Scene) Log(name string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p := s.running[name]; p != nil && p.ended() {
-		return p.log.String()
-	}
-	return ""
-}
-
 // Close kills every process that still runs and waits for them.
 func (s *Scene) Close() {
 	s.mu.Lock()
--- a/io/stand/flows.go
+++ b/io/stand/flows.go
@@ -112,13 +112,6 @@
 	return out
 }
 
-// SetCount changes the number of flows that are held open.
-func (f *Flows) SetCount(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cfg.Count = n
-}
-
 func (f *Flows) run(ctx context.Context) {
 	ticker := time.NewTicker(flowTick)
 	defer ticker.Stop()
