Let the stand-in backend server mislead and keep deadlines

Ruled out: nothing.

Change: the load can be reported late and multiplied, a server can claim to be healthy and answer nothing, and a request ends at the caller's deadline.

Conclusion: the product is not yet tested against these faults.

--- a/io/stand/server.go
+++ b/io/stand/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -38,7 +39,13 @@
 	LongTime    time.Duration `yaml:"longTime"`
 	ColdTime    time.Duration `yaml:"coldTime"` // extra time of each request in the first seconds
 	Incarnation uint64        `yaml:"incarnation"`
-	Seed        uint64        `yaml:"seed"`
+	// LoadLag delays what the load endpoint reports, LoadFactor multiplies it;
+	// 0 counts as 1. Silent lets the server claim to be healthy and answer no
+	// packet and no request.
+	LoadLag    time.Duration `yaml:"loadLag"`
+	LoadFactor float64       `yaml:"loadFactor"`
+	Silent     bool          `yaml:"silent"`
+	Seed       uint64        `yaml:"seed"`
 }
 
 const (
@@ -70,6 +77,7 @@
 	flows  map[netip.AddrPort]uint64 // cookie by caller
 	ledger Ledger
 	queued int
+	loads  []loadSample
 	start  time.Time
 	random *rand.Rand
 }
@@ -123,7 +131,7 @@
 			return
 		}
 		seg, err := decodeSegment(buf[:n])
-		if err != nil {
+		if err != nil || s.cfg.Silent {
 			continue
 		}
 		reply := s.handle(seg)
@@ -214,7 +222,7 @@
 			"service": s.cfg.Service, "name": s.cfg.Name, "incarnation": s.cfg.Incarnation})
 	})
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
-		json.NewEncoder(w).Encode(map[string]int{"running": len(s.slots)})
+		json.NewEncoder(w).Encode(map[string]float64{"running": s.reportedLoad(time.Now())})
 	})
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
 		json.NewEncoder(w).Encode(s.Ledger())
@@ -223,10 +231,46 @@
 	return mux
 }
 
+// loadSample is the number of running requests at a time.
+type loadSample struct {
+	at      time.Time
+	running int
+}
+
+// reportedLoad returns the load as it was LoadLag ago, times LoadFactor.
+func (s *Server) reportedLoad(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = append(s.loads, loadSample{at: now, running: len(s.slots)})
+	for len(s.loads) > 1 && now.Sub(s.loads[1].at) >= s.cfg.LoadLag {
+		s.loads = s.loads[1:]
+	}
+	factor := s.cfg.LoadFactor
+	if factor == 0 {
+		factor = 1
+	}
+	return factor * float64(s.loads[0].running)
+}
+
+// callerTime returns a context that ends at the caller's deadline.
+func callerTime(req *http.Request) (context.Context, context.CancelFunc) {
+	seconds, err := strconv.ParseFloat(req.Header.Get("Request-Timeout"), 64)
+	if err != nil {
+		return context.WithCancel(req.Context())
+	}
+	return context.WithTimeout(req.Context(), time.Duration(seconds*float64(time.Second)))
+}
+
 // work runs a request in a slot. The answer repeats the request's key, so that
 // the caller can tell whose answer it is.
 func (s *Server) work(w http.ResponseWriter, req *http.Request) {
-	if !s.enter(req.Context()) {
+	ctx, cancel := callerTime(req)
+	defer cancel()
+	if s.cfg.Silent {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.enter(ctx) {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
@@ -237,7 +281,10 @@
 	s.mu.Lock()
 	s.ledger.Runs[key]++
 	s.mu.Unlock()
-	timer.Sleep(req.Context(), s.serviceTime(req))
+	timer.Sleep(ctx, s.serviceTime(req))
+	if ctx.Err() != nil {
+		panic(http.ErrAbortHandler) // the caller has left or its deadline has passed
+	}
 	w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	fmt.Fprintf(w, "%s %s ran %s %s\n", s.cfg.Service, s.cfg.Name, key, body)
 }
