Put each concept of the entry role into its own file

Cause: a newcomer looks for the peer link beside peers and for the routes of an endpoint not beside announcements.

Ruled out: nothing.

Change: the peer link moves to peers.go, the routes and readiness to routes.go.

Conclusion: behaviour is unchanged.

--- a/io/entry/announce.go
+++ b/io/entry/announce.go
@@ -7,10 +7,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"boragepost/core/model"
-	"boragepost/io/links"
 	"boragepost/io/proto"
 )
 
@@ -64,28 +61,6 @@
 	}
 }
 
-func (e *Entry) peerRoutes() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(proto.PeerPath, links.Handler(e.ctx, e.traffic.peers(), e.servePeer))
-	mux.HandleFunc("POST /v1/announce", e.announce)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(e.registry(), promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !e.Ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintln(w, "ok")
-	})
-	return mux
-}
-
-// Ready reports whether the fabric should send packets to the instance: it is
-// not leaving, and it has a lease or must serve without one.
-func (e *Entry) Ready() bool {
-	return !e.unready.Load() && e.balancer.Serving(e.now())
-}
-
 func (e *Entry) announce(w http.ResponseWriter, req *http.Request) {
 	var a Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAnnouncement))
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/netip"
 	"time"
 
 	"boragepost/core/leader"
@@ -148,10 +147,3 @@
 	clear(e.renewals)
 	e.control.Send(proto.ToControl{Renew: ids})
 }
-
-// peer is the link to another entry instance.
-type peer struct {
-	addr   netip.AddrPort
-	client *links.Client[proto.ToPeer, proto.ToPeer]
-	stop   func()
-}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"boragepost/core/claim"
 	"boragepost/core/model"
@@ -10,6 +11,13 @@
 	"boragepost/io/proto"
 )
 
+// peer is the link to another entry instance.
+type peer struct {
+	addr   netip.AddrPort
+	client *links.Client[proto.ToPeer, proto.ToPeer]
+	stop   func()
+}
+
 // traffic counts what travels on links, by purpose.
 type traffic struct {
 	control links.Meter // the link to a control replica
--- /dev/null
+++ b/io/entry/routes.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+func (e *Entry) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(proto.PeerPath, links.Handler(e.ctx, e.traffic.peers(), e.servePeer))
+	mux.HandleFunc("POST /v1/announce", e.announce)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(e.registry(), promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ok")
+	})
+	return mux
+}
+
+// Ready reports whether the fabric should send packets to the instance: it is
+// not leaving, and it has a lease or must serve without one.
+func (e *Entry) Ready() bool {
+	return !e.unready.Load() && e.balancer.Serving(e.now())
+}
