Count an island's patience from its start

The broken flows' packets, logged in a scratch copy, had been held for 1.5 s when their instance became an island: a question from before the lease ended had used up the wait, so the flow was given to the base at once, although its keeper would have answered half a second later.

Change: the wait counts from when the instance became an island at the earliest.

The test for it fails without the change.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -76,6 +76,7 @@
 	version   uint64
 	confirmed uint64
 	moving    bool
+	island    int64 // when the instance became an island; 0 if it is none
 	ticks     uint64
 	now       int64
 	out       Output
@@ -156,6 +157,7 @@
 func (a *Agent) Tick(now int64) Output {
 	a.now = now
 	a.ticks++
+	a.noticeIsland()
 	a.retryQuestions()
 	if a.ticks%storeTicks == 0 {
 		a.send(a.store.Tick())
@@ -170,6 +172,15 @@
 	return a.take()
 }
 
+func (a *Agent) noticeIsland() {
+	switch {
+	case !a.balancer.IsIsland():
+		a.island = 0
+	case a.island == 0:
+		a.island = a.now
+	}
+}
+
 func (a *Agent) handle(from model.InstanceID, m Message) {
 	switch {
 	case m.Flow != nil:
--- /dev/null
+++ b/core/agent/island_test.go
@@ -0,0 +1,54 @@
+package agent_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragepost/core/agent"
+	"boragepost/core/flow"
+	"boragepost/core/model"
+	"boragepost/core/state"
+)
+
+// TestIslandWaitsForItsKeeper asks a question shortly before the lease ends. The
+// keeper answers only once it is an island too, so the time before that must not
+// count.
+func TestIslandWaitsForItsKeeper(t *testing.T) {
+	g := NewWithT(t)
+	s := state.New()
+	apply := func(c model.Command) { s.Apply(s.Index()+1, c) }
+	apply(model.Command{Join: &model.Join{Instance: model.Instance{ID: "self", Incarnation: 1}}})
+	apply(model.Command{Join: &model.Join{Instance: model.Instance{ID: "other", Incarnation: 1}}})
+	apply(model.Command{PutService: &model.PutService{Force: true, Service: model.Service{
+		Name: testService, Address: serviceAddress, IdleTimeout: model.Duration(time.Minute)}}})
+	for i := range 2 {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+		apply(model.Command{Announce: &model.Announce{Server: model.BackendServer{
+			Name: addr.String(), Service: testService, Packets: addr, HTTP: addr, Slots: 1, Incarnation: 1}}})
+	}
+	a := agent.New(agent.Config{Self: "self"})
+	second := int64(time.Second)
+	asked := 3*second + 9*second/10
+	a.Apply(second, s)
+	a.Balancer().Renew(4 * second)
+	h := flow.Header{Source: netip.MustParseAddrPort("100.0.0.1:4000"), Dest: serviceAddress, Protocol: flow.TCP}
+	v := a.Balancer().Decide(asked, h)
+	for ; v.Action != flow.Query; v = a.Balancer().Decide(asked, h) {
+		// A flow in the half of the buckets that moves.
+		h.Source = netip.AddrPortFrom(h.Source.Addr().Next(), 4000)
+	}
+	a.Query(asked, agent.Query{Verdict: v, Header: h, Packet: []byte("packet")})
+	a.Balancer().SetIsland(true)
+	alone := 0
+	for now := 5 * second; now < 6*second; now += second / 50 {
+		alone += len(a.Tick(now).Packets)
+	}
+	g.Expect(alone).To(BeZero())
+	for now := 6 * second; now < 8*second; now += second / 50 {
+		alone += len(a.Tick(now).Packets)
+	}
+	g.Expect(alone).To(Equal(1))
+}
--- a/core/agent/question.go
+++ b/core/agent/question.go
@@ -15,7 +15,8 @@
 	maxHeldPackets   = 4 // per question
 	questionTimeout  = 3 * time.Second
 	questionInterval = 100 * time.Millisecond
-	// islandPatience is how long an island waits for a keeper. Instances that
+	// islandPatience is how long an island waits for a keeper, counted from when
+	// it became one at the earliest. Instances that
 	// lose the same leader become islands within half a second of each other;
 	// the keeper answers when it has become one too.
 	islandPatience = 1500 * time.Millisecond
@@ -176,7 +177,7 @@
 // retransmission starts anew.
 func (a *Agent) retryQuestions() {
 	for _, q := range a.questions.inOrder() {
-		if a.balancer.IsIsland() && a.now-q.since > nanos(islandPatience) && !q.prepare {
+		if a.island != 0 && a.now-max(q.since, a.island) > nanos(islandPatience) && !q.prepare {
 			a.answerAlone(q)
 			continue
 		}
