Do not read settings twice, nor work out progress for nothing

Cause: a last reading of the change found that a settings file was read once for the lines of its faults and again to decode it, and that every tick of an entry instance looked at all moved buckets before it asked whether a move was waiting.

Ruled out: sharing the TestMain of the three property tests, which would put test code into a package of the product; one piece for Decide and DecideAlone, which share only the taking of a lock.

Change: one read; the cheap question first.

Conclusion: behaviour is unchanged.

--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -12,6 +12,7 @@
 package conf
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -138,7 +139,7 @@
 // Check reads a file of any kind: settings by their role, or services. It
 // returns the kind, and an *Error that lists all faults.
 func Check(path string) (kind string, err error) {
-	doc, err := read(path)
+	doc, _, err := read(path)
 	if err != nil {
 		return "", err
 	}
@@ -158,29 +159,25 @@
 	}
 }
 
-func read(path string) (*yaml.Node, error) {
+func read(path string) (*yaml.Node, []byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("read settings: %w", err)
+		return nil, nil, fmt.Errorf("read settings: %w", err)
 	}
 	var doc yaml.Node
 	if err := yaml.Unmarshal(data, &doc); err != nil {
-		return nil, &Error{Faults: yamlFaults(path, err)}
+		return nil, nil, &Error{Faults: yamlFaults(path, err)}
 	}
-	return &doc, nil
+	return &doc, data, nil
 }
 
 // load decodes a file strictly into a copy of v and runs its check.
 func load[T any](path string, v T, check func(T) []model.FieldError) (T, error) {
-	doc, err := read(path)
+	doc, data, err := read(path)
 	if err != nil {
 		return v, err
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return v, fmt.Errorf("read settings: %w", err)
-	}
-	decoder := yaml.NewDecoder(strings.NewReader(string(data)))
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
 	if err := decoder.Decode(&v); err != nil {
 		return v, &Error{Faults: yamlFaults(path, err)}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -121,8 +121,11 @@
 // confirmEarly sends a heartbeat ahead of time when a bucket move waits for
 // this instance's progress.
 func (e *Entry) confirmEarly() {
+	if !e.agent.Moving() {
+		return // working out the progress looks at every moved bucket
+	}
 	confirmed, fetched := e.agent.Progress()
-	if confirmed == e.beat.confirmed && fetched == e.beat.fetched || !e.agent.Moving() {
+	if confirmed == e.beat.confirmed && fetched == e.beat.fetched {
 		return
 	}
 	if now := e.now(); now-e.beat.at >= int64(earlyBeat) {
