Agree on the set of control replicas, and prove reads by a round

Cause: on the users' platform nobody lists the control replicas. There may be three to eight, a machine may be replaced for good by an empty one at another address, and a disk may come back empty at the old address.

Ruled out: a second consensus package (the same election and log matching would stand twice), and the recovery by "every peer has reported" for such a set, because the peer that is gone for good never reports.

Change: with Config.Agreed the voters are part of the log and change one at a time. A lost disk takes its identifier with it, so a replica without memory is a newcomer that learns first. A voter that is lost is dropped while the set stays above its floor. A leader proves that its state is the newest by a round of acknowledgements instead of a lease. Appends are bounded in bytes.

Before: the fixed set only. After: the tests of the fixed set pass unchanged.

--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -7,18 +7,48 @@
 	entries  []Entry
 	commit   uint64
 	unsaved  uint64 // lowest index not yet handed out for saving; 0 for none
+	agreed   bool   // entries may replace the voters
+	founders []string
+	peers    []string // voters in force: those of the last entry that names any
 }
 
-func newLog(saved Saved) raftLog {
-	l := raftLog{snapshot: saved.Snapshot, commit: saved.Snapshot.Index}
+func newLog(saved Saved, cfg Config) raftLog {
+	l := raftLog{snapshot: saved.Snapshot, commit: saved.Snapshot.Index, agreed: cfg.Agreed, founders: cfg.Peers}
 	for _, e := range saved.Entries {
 		if e.Index > l.snapshot.Index {
 			l.entries = append(l.entries, e)
 		}
 	}
+	l.peers = l.peersAt(l.last())
 	return l
 }
 
+// peersAt returns the voters as of an index that the log holds.
+func (l *raftLog) peersAt(index uint64) []string {
+	if !l.agreed {
+		return l.founders
+	}
+	for i := index; i > l.snapshot.Index; i-- {
+		if peers := l.entries[i-l.snapshot.Index-1].Peers; len(peers) > 0 {
+			return peers
+		}
+	}
+	if len(l.snapshot.Peers) > 0 {
+		return l.snapshot.Peers
+	}
+	return l.founders
+}
+
+// shapedAt returns the index of the last change of the voters, or 0.
+func (l *raftLog) shapedAt() uint64 {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if len(l.entries[i].Peers) > 0 {
+			return l.entries[i].Index
+		}
+	}
+	return 0
+}
+
 func (l *raftLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
 
 // termAt returns the term of an index, or 0 when the log does not hold it.
@@ -48,6 +78,8 @@
 	if l.unsaved == 0 || e.Index < l.unsaved {
 		l.unsaved = e.Index
 	}
+	// An entry may also have replaced one that named voters.
+	l.peers = l.peersAt(l.last())
 }
 
 // merge adds the entries that the log lacks, and drops a conflicting suffix.
@@ -86,4 +118,5 @@
 		l.entries, l.snapshot, l.unsaved = nil, snap, 0
 	}
 	l.commit = max(l.commit, snap.Index)
+	l.peers = l.peersAt(l.last())
 }
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -34,6 +34,8 @@
 	Snapshot *Snapshot `cbor:"11,keyasint,omitempty"`
 	// Sent is the leader's tick of an append, echoed in the reply.
 	Sent uint64 `cbor:"12,keyasint,omitempty"`
+	// Round is the leader's latest read round, echoed in the reply.
+	Round uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Step handles a message from another replica.
@@ -128,7 +130,7 @@
 }
 
 func (n *Node) onVoteReply(m Message, role Role) {
-	if n.role != role || m.Reject {
+	if n.role != role || m.Reject || !n.Voter(m.From) {
 		return
 	}
 	if role == PreCandidate && m.Index != n.hard.Term+1 {
@@ -148,7 +150,7 @@
 
 func (n *Node) onAppend(m Message) {
 	n.follow(m)
-	reply := Message{Kind: KindAppendReply, Term: n.hard.Term, Sent: m.Sent}
+	reply := Message{Kind: KindAppendReply, Term: n.hard.Term, Sent: m.Sent, Round: m.Round}
 	matches := m.Index <= n.log.commit || n.log.termAt(m.Index) == m.LogTerm && m.Index <= n.log.last()
 	if !matches {
 		reply.Reject = true
@@ -185,7 +187,11 @@
 		return
 	}
 	p := n.progress[m.From]
+	if p == nil {
+		return // no longer a voter or learner
+	}
 	p.ackedAt = max(p.ackedAt, m.Sent)
+	p.round = max(p.round, m.Round)
 	p.learner = m.Learner
 	if m.Reject {
 		p.next = max(1, min(p.next-1, m.Index+1))
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -17,13 +17,25 @@
 //
 // The order matters: a message may promise what must already be durable.
 //
-// A replica without saved state may have lost its disk. It must not vote as if
-// it remembered, so it starts recovering: it neither votes nor counts for a
-// commit until it has heard from every peer and has caught up with the longest
-// log that any of them reported.
+// The set of voting replicas is either fixed or agreed (Config.Agreed).
+//
+// With a fixed set, a replica without saved state may have lost its disk. It
+// must not vote as if it remembered, so it starts recovering: it neither votes
+// nor counts for a commit until it has heard from every peer and has caught up
+// with the longest log that any of them reported.
+//
+// With an agreed set, the set itself is part of the log (Entry.Peers) and
+// changes by one replica at a time. A replica that has lost its disk comes back
+// under a new identifier, so it is a newcomer that has promised nothing: it
+// learns the log first (Admit) and votes once the leader has added it.
+//
+// A leader proves that what it has applied is the newest by a round of
+// acknowledgements that starts after the question (Read, Confirmed). Unlike a
+// lease, this needs no clock.
 package quorum
 
 import (
+	"maps"
 	"slices"
 )
 
@@ -32,6 +44,9 @@
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
 	Data  []byte `cbor:"3,keyasint,omitempty"`
+	// Peers, if set, replaces the agreed set of voters from this entry on, also
+	// before it is committed.
+	Peers []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Hard is the part of a node's state that must survive a restart besides the
@@ -48,6 +63,8 @@
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
 	Data  []byte `cbor:"3,keyasint"`
+	// Peers is the agreed set of voters as of Index.
+	Peers []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Saved is what a node reads back from disk when it starts.
@@ -59,8 +76,15 @@
 
 // Config fixes a node's identity and timing. Zero tick counts take defaults.
 type Config struct {
-	ID    string
-	Peers []string // all replicas, the node itself included
+	ID string
+	// Peers is the fixed set of voters, or the founders of an agreed set: the
+	// same list, in any order, at every start of a founder, and nothing at a
+	// replica that joined later.
+	Peers []string
+	// Agreed makes the set of voters part of the log.
+	Agreed bool
+	// Shape bounds the agreed set.
+	Shape Shape
 	// ElectionTicks is the least silence before an election; the actual
 	// timeout lies between one and two times this value.
 	ElectionTicks int
@@ -74,6 +98,9 @@
 	defaultElectionTicks  = 10
 	defaultHeartbeatTicks = 2
 	maxEntriesPerMessage  = 256
+	// maxBytesPerMessage keeps an append below a second of the slowest link that
+	// replicas are expected to have, 8 Mbit/s. One entry is always sent.
+	maxBytesPerMessage = 1 << 20
 )
 
 // Role is a node's part in the current term.
@@ -96,10 +123,12 @@
 	role      Role
 	leader    string
 	votes     map[string]bool
-	progress  map[string]*progress
-	now       uint64 // ticks since start
-	heardAt   uint64 // tick of the leader's latest message
-	beatAt    uint64 // tick of this leader's latest heartbeat
+	progress  map[string]*progress // of voters and of learners
+	round     uint64               // latest read round that was sent
+	asked     bool                 // a read waits for the next round
+	now       uint64               // ticks since start
+	heardAt   uint64               // tick of the leader's latest message
+	beatAt    uint64               // tick of this leader's latest heartbeat
 	timeout   uint64
 	restarted bool // the node continues from saved state
 	recovery  recovery
@@ -114,6 +143,8 @@
 	ackedAt     uint64 // send tick of the latest acknowledged message
 	learner     bool
 	snapshotAt  uint64 // tick at which a snapshot was sent; 0 for none
+	round       uint64 // latest read round that the peer acknowledged
+	joinedAt    uint64 // tick at which a learner last asked to join
 }
 
 // New returns a node that continues from what was saved.
@@ -127,10 +158,10 @@
 	if cfg.Rand == nil {
 		cfg.Rand = func(int) int { return 0 }
 	}
-	n := &Node{cfg: cfg, hard: saved.Hard, savedHard: saved.Hard, log: newLog(saved)}
+	n := &Node{cfg: cfg, hard: saved.Hard, savedHard: saved.Hard, log: newLog(saved, cfg)}
 	n.committed = n.log.commit
 	n.restarted = saved.Hard.Term > 0
-	n.recovery.active = !saved.Hard.Admitted && len(cfg.Peers) > 1
+	n.recovery.active = !cfg.Agreed && !saved.Hard.Admitted && len(cfg.Peers) > 1
 	n.resetTimeout()
 	return n
 }
@@ -147,6 +178,27 @@
 // Commit returns the highest committed index.
 func (n *Node) Commit() uint64 { return n.log.commit }
 
+// Peers returns the voters in force. The caller must not change the slice.
+func (n *Node) Peers() []string { return n.log.peers }
+
+// LastIndex returns the index of the last entry, committed or not.
+func (n *Node) LastIndex() uint64 { return n.log.last() }
+
+// Applied returns the highest index that Take has handed out as committed.
+func (n *Node) Applied() uint64 { return n.committed }
+
+// Voter reports whether a replica is in the set of voters.
+func (n *Node) Voter(id string) bool { return slices.Contains(n.log.peers, id) }
+
+// HeardRecently reports whether the node leads with the support of a quorum, or
+// has heard from a leader less than an election timeout ago.
+func (n *Node) HeardRecently() bool {
+	if n.role == Leader {
+		return n.HasLease()
+	}
+	return n.leader != "" && n.now-n.heardAt < uint64(n.cfg.ElectionTicks)
+}
+
 // Recovering reports whether the node may not vote yet.
 func (n *Node) Recovering() bool { return n.recovery.active }
 
@@ -159,7 +211,7 @@
 	}
 	recent := 0
 	window := uint64(n.cfg.ElectionTicks) * 3 / 4
-	for _, id := range n.cfg.Peers {
+	for _, id := range n.log.peers {
 		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < window && !n.progress[id].learner {
 			recent++
 		}
@@ -182,7 +234,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now-n.heardAt >= n.timeout && !n.recovery.active {
+	if n.now-n.heardAt >= n.timeout && !n.recovery.active && n.Voter(n.cfg.ID) {
 		n.campaign(PreCandidate)
 	}
 }
@@ -191,6 +243,7 @@
 	if n.now-n.beatAt >= uint64(n.cfg.HeartbeatTicks) {
 		n.beatAt = n.now
 		n.broadcast()
+		n.reshape()
 	}
 	if n.now-n.heardAt < uint64(2*n.cfg.ElectionTicks) {
 		return
@@ -198,9 +251,9 @@
 	// A leader that no quorum answers steps down, so that its callers learn
 	// that nothing is accepted here.
 	n.heardAt = n.now
-	recent := 1
-	for id, p := range n.progress {
-		if id != n.cfg.ID && n.now-p.ackedAt < uint64(2*n.cfg.ElectionTicks) {
+	recent := 0
+	for _, id := range n.log.peers {
+		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < uint64(2*n.cfg.ElectionTicks) {
 			recent++
 		}
 	}
@@ -215,18 +268,63 @@
 	if n.role != Leader {
 		return 0, 0, false
 	}
-	e := Entry{Index: n.log.last() + 1, Term: n.hard.Term, Data: data}
+	e := n.extend(Entry{Data: data})
+	return e.Index, e.Term, true
+}
+
+// extend appends an entry of the leader's own term and sends it out.
+func (n *Node) extend(e Entry) Entry {
+	e.Index, e.Term = n.log.last()+1, n.hard.Term
 	n.log.append(e)
+	n.track(n.log.peers)
 	n.progress[n.cfg.ID].match = e.Index
 	n.advanceCommit()
 	n.broadcast()
-	return e.Index, e.Term, true
+	return e
+}
+
+// track starts to follow the progress of replicas that are not yet known.
+func (n *Node) track(ids []string) {
+	for _, id := range ids {
+		if n.progress[id] == nil {
+			n.progress[id] = &progress{next: n.log.last() + 1, ackedAt: n.now, joinedAt: n.now}
+		}
+	}
+}
+
+// Read asks for proof that this node still leads. It returns the round whose
+// confirmation is the proof, and false when the node does not lead or has not
+// yet committed an entry of its term.
+func (n *Node) Read() (round uint64, ok bool) {
+	if n.role != Leader || n.log.termAt(n.log.commit) != n.hard.Term {
+		return 0, false
+	}
+	n.asked = true
+	return n.round + 1, true
+}
+
+// Confirmed returns the latest round that a quorum has acknowledged in this
+// term. What was applied when it was sent was the newest then.
+func (n *Node) Confirmed() uint64 {
+	if n.role != Leader {
+		return 0
+	}
+	var rounds []uint64
+	for _, id := range n.log.peers {
+		if id == n.cfg.ID {
+			rounds = append(rounds, n.round)
+			continue
+		}
+		rounds = append(rounds, n.progress[id].round)
+	}
+	slices.Sort(rounds)
+	return rounds[len(rounds)-n.quorum()]
 }
 
 // Compact drops the log up to an applied index, for which data is the
 // snapshot. It returns the snapshot to make durable.
 func (n *Node) Compact(index uint64, data []byte) Snapshot {
-	snap := Snapshot{Index: index, Term: n.log.termAt(index), Data: data}
+	snap := Snapshot{Index: index, Term: n.log.termAt(index), Data: data, Peers: n.log.peersAt(index)}
 	n.log.compact(snap)
 	return snap
 }
@@ -249,6 +347,11 @@
 // Take returns the work that has come up since the last call.
 func (n *Node) Take() Output {
 	var out Output
+	if n.asked {
+		n.asked = false
+		n.round++
+		n.broadcast()
+	}
 	if n.hard != n.savedHard {
 		hard := n.hard
 		out.Hard = &hard
@@ -268,7 +371,7 @@
 	return out
 }
 
-func (n *Node) quorum() int { return len(n.cfg.Peers)/2 + 1 }
+func (n *Node) quorum() int { return len(n.log.peers)/2 + 1 }
 
 func (n *Node) resetTimeout() {
 	n.heardAt = n.now
@@ -294,14 +397,20 @@
 		m = Message{Kind: KindVote, Term: n.hard.Term}
 	}
 	m.Index, m.LogTerm = n.log.last(), n.log.termAt(n.log.last())
-	for _, id := range n.cfg.Peers {
+	for _, id := range n.log.peers {
 		n.send(id, m)
 	}
 	n.countVotes()
 }
 
 func (n *Node) countVotes() {
-	if len(n.votes) < n.quorum() {
+	granted := 0
+	for _, id := range n.log.peers {
+		if n.votes[id] {
+			granted++
+		}
+	}
+	if granted < n.quorum() {
 		return
 	}
 	if n.role == PreCandidate {
@@ -314,15 +423,14 @@
 func (n *Node) lead() {
 	n.become(Leader, n.hard.Term, n.cfg.ID)
 	n.progress = map[string]*progress{}
-	for _, id := range n.cfg.Peers {
-		n.progress[id] = &progress{next: n.log.last() + 1}
-	}
+	n.track(n.log.peers)
+	n.round, n.asked = 0, false
 	// An entry of the new term commits everything before it.
 	n.Propose(nil)
 }
 
 func (n *Node) broadcast() {
-	for _, id := range n.cfg.Peers {
+	for _, id := range slices.Sorted(maps.Keys(n.progress)) {
 		if id != n.cfg.ID {
 			n.sendAppend(id)
 		}
@@ -335,16 +443,28 @@
 		n.sendSnapshot(id, p)
 		return
 	}
-	entries := n.log.slice(p.next, min(n.log.last(), p.next+maxEntriesPerMessage-1))
+	entries := fitting(n.log.slice(p.next, min(n.log.last(), p.next+maxEntriesPerMessage-1)))
 	n.send(id, Message{
 		Kind: KindAppend, Term: n.hard.Term, Index: p.next - 1, LogTerm: n.log.termAt(p.next - 1),
-		Entries: slices.Clone(entries), Commit: n.log.commit, Sent: n.now,
+		Entries: slices.Clone(entries), Commit: n.log.commit, Sent: n.now, Round: n.round,
 	})
 	// The next message continues after this one; a reply that rejects it says
 	// where to resume if it got lost.
 	p.next += uint64(len(entries))
 }
 
+// fitting returns the first entries that go into one message.
+func fitting(entries []Entry) []Entry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if size > maxBytesPerMessage && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 func (n *Node) sendSnapshot(id string, p *progress) {
 	if p.snapshotAt != 0 && n.now-p.snapshotAt < uint64(n.cfg.ElectionTicks) {
 		return
@@ -356,7 +476,7 @@
 
 func (n *Node) advanceCommit() {
 	var matches []uint64
-	for _, id := range n.cfg.Peers {
+	for _, id := range n.log.peers {
 		match := n.progress[id].match
 		if n.progress[id].learner {
 			match = 0
