Forward by flow cookie, and hold configuration and backend servers as values

Cause: the users' network carries a token in each packet of a flow. With it an entry instance needs no flow table, no record keepers and no bucket moves.

Weighed: numbering cookies by the control log (must survive a restart of all replicas and delays a new backend server by a quorum) against deriving them from the identifier (chosen; a collision is settled by the order of starts).

--- a/core/flow/balancer.go
+++ b/core/flow/balancer.go
@@ -1,6 +1,12 @@
 // Package flow decides, packet by packet, which backend server a flow goes to.
 //
-// Any packet of a flow may reach any entry instance. Instances agree without
+// Any packet of a flow may reach any entry instance. There are two ways to keep
+// a flow on its backend server. Where the network carries a cookie for each
+// flow, the cookie names the backend server (CookieBalancer); nothing has to be
+// remembered or agreed but the configuration and the backend servers. Elsewhere
+// a Balancer shares a bucket table with its peers, as follows.
+//
+// Instances agree without
 // talking because they hold the same bucket table (package table) at the same
 // version. While a bucket moves, an instance asks the bucket's record keeper
 // about flows that it does not know; afterwards the flows that stayed with
@@ -39,6 +45,10 @@
 	Forward
 	// Query holds the packet until the record keeper has answered.
 	Query
+	// Hold keeps the packet for a moment, until the instance knows more.
+	Hold
+	// Reset ends the flow towards its caller.
+	Reset
 )
 
 // Reason says why a packet is dropped. Its text is a metric label.
--- /dev/null
+++ b/core/flow/cookie.go
@@ -0,0 +1,271 @@
+package flow
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"boragepost/core/config"
+	"boragepost/core/load"
+	"boragepost/core/place"
+	"boragepost/core/roster"
+)
+
+// Cookie is a token that a network carries for its flows: a backend server
+// returns to the caller the last cookie that it received on a flow, and the
+// caller puts it into each later packet. A cookie names the backend server of
+// the flow, so that any instance forwards any packet without remembering flows.
+// The zero Cookie names none.
+type Cookie uint32
+
+// CookieOf returns the cookie of a backend server. It depends on nothing but the
+// identifier, so that all instances agree, also after a restart of all of them.
+// Identifiers of up to 32 bits are their own cookies.
+func CookieOf(id uint64) Cookie {
+	if id>>32 == 0 {
+		return Cookie(id)
+	}
+	c := Cookie(place.Mix(id, id>>32))
+	if c == 0 {
+		return 1
+	}
+	return c
+}
+
+// CookieHeader is what a decision by cookie needs to know of a packet.
+type CookieHeader struct {
+	Source, Dest netip.AddrPort
+	Cookie       Cookie
+	Start        bool   // an opening packet
+	Finish       bool   // the caller ends the flow
+	Data         bool   // the packet carries request data
+	Seq, Ack     uint32 // positions in the two directions
+}
+
+// Key returns the flow key of the packet.
+func (h CookieHeader) Key() Key {
+	return Header{Source: h.Source, Dest: h.Dest, Protocol: TCP}.Key()
+}
+
+// CookieVerdict is the decision on one packet. Server and Target are set for
+// Forward, and Cookie for an opening packet, which has to carry it.
+type CookieVerdict struct {
+	Action Action
+	Reason Reason
+	Server uint64
+	Target netip.AddrPort
+	Cookie Cookie
+}
+
+// The reasons of decisions by cookie.
+const (
+	NoConfig      Reason = "noConfig"      // no configuration has been received
+	NoRoute       Reason = "noRoute"       // the configuration has no route for the address
+	RouteDropped  Reason = "routeDropped"  // a configuration has removed the flow's route
+	UnknownCookie Reason = "unknownCookie" // no backend server is known by the cookie
+	ServerGone    Reason = "serverGone"    // the flow's backend server has ended
+)
+
+// goneGrace is how long packets still go to a backend server that has said
+// farewell, which it does shortly before it ends.
+const goneGrace = time.Second
+
+// CookieBalancer decides by cookie. The zero value has no configuration and
+// knows no backend server. It belongs to one goroutine.
+type CookieBalancer struct {
+	// Zone is the availability zone of the instance.
+	Zone string
+	// Load is what the instance knows of the load.
+	Load load.Tracker
+
+	configured bool
+	config     config.Configuration
+	dropped    map[netip.AddrPort]bool
+	roster     roster.Roster
+	servers    map[uint64]*cookieServer
+	byCookie   map[Cookie]*cookieServer
+	candidates map[string][]load.Candidate // by service
+}
+
+type cookieServer struct {
+	roster.Server
+	warmAt time.Duration
+	goneAt time.Duration
+}
+
+// Configure puts a configuration into force. It reports false for one that is
+// not newer than the present one: an instance never goes back.
+func (b *CookieBalancer) Configure(c config.Configuration) bool {
+	if b.configured && c.Version <= b.config.Version {
+		return false
+	}
+	if b.dropped == nil {
+		b.dropped = map[netip.AddrPort]bool{}
+	}
+	for _, r := range b.config.Routes {
+		b.dropped[r.Address] = true
+	}
+	for _, r := range c.Routes {
+		delete(b.dropped, r.Address)
+	}
+	b.configured, b.config = true, c
+	return true
+}
+
+// Config returns the configuration in force, and false before the first one.
+func (b *CookieBalancer) Config() (config.Configuration, bool) { return b.config, b.configured }
+
+// Learn takes in records of backend servers, in any order and from any source.
+// It keeps those that are gone, so that their flows are ended rather than left
+// without an answer.
+func (b *CookieBalancer) Learn(now time.Duration, servers []roster.Server) {
+	var changed []roster.Server
+	for _, s := range servers {
+		c, _ := b.roster.Merge(now, s)
+		changed = append(changed, c...)
+	}
+	if b.servers == nil {
+		b.servers = map[uint64]*cookieServer{}
+	}
+	for _, s := range changed {
+		b.servers[s.ID] = &cookieServer{Server: s, warmAt: now + s.Warming, goneAt: now}
+	}
+	if len(changed) > 0 {
+		b.index()
+	}
+}
+
+// Forget drops the backend servers that have been gone for long.
+func (b *CookieBalancer) Forget(now time.Duration) {
+	if b.roster.Forget(now) == 0 {
+		return
+	}
+	for id := range b.servers {
+		if _, ok := b.roster.Get(id); !ok {
+			delete(b.servers, id)
+		}
+	}
+	b.index()
+}
+
+// index builds the tables for decisions. Of the backend servers that share a
+// cookie the first started keeps it, and the others take no new flows while it
+// lives; every instance settles this alike.
+func (b *CookieBalancer) index() {
+	b.byCookie = map[Cookie]*cookieServer{}
+	b.candidates = map[string][]load.Candidate{}
+	order := make([]*cookieServer, 0, len(b.servers))
+	for _, s := range b.servers {
+		order = append(order, s)
+	}
+	slices.SortFunc(order, compareClaims)
+	for _, s := range order {
+		cookie := CookieOf(s.ID)
+		if b.byCookie[cookie] != nil {
+			continue
+		}
+		b.byCookie[cookie] = s
+		if s.Phase == roster.Ready {
+			b.candidates[s.Service] = append(b.candidates[s.Service], load.Candidate{
+				ID: s.ID, Zone: s.Zone, Slots: s.Slots, Silent: s.Silent, WarmAt: s.warmAt})
+		}
+	}
+}
+
+// compareClaims orders backend servers by their claim on a cookie.
+func compareClaims(a, b *cookieServer) int {
+	switch {
+	case (a.Phase == roster.Gone) != (b.Phase == roster.Gone):
+		if a.Phase == roster.Gone {
+			return 1
+		}
+		return -1
+	case a.Incarnation != b.Incarnation:
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Server returns a backend server that the balancer knows.
+func (b *CookieBalancer) Server(id uint64) (roster.Server, bool) {
+	s, ok := b.servers[id]
+	if !ok {
+		return roster.Server{}, false
+	}
+	return s.Server, true
+}
+
+// Ready reports whether new flows can be served: there is a configuration, and a
+// backend server for some service.
+func (b *CookieBalancer) Ready() bool { return b.configured && len(b.candidates) > 0 }
+
+// Decide returns the verdict on one packet. Forward sends it to the target,
+// Reset answers it with a reset, and Hold means that a decision may be possible
+// soon, because the instance is still learning.
+func (b *CookieBalancer) Decide(now time.Duration, h CookieHeader) CookieVerdict {
+	key := uint64(h.Key())
+	if h.Start {
+		return b.start(now, h, key)
+	}
+	s := b.byCookie[h.Cookie]
+	switch {
+	case s == nil:
+		return CookieVerdict{Action: Hold, Reason: UnknownCookie}
+	case b.dropped[h.Dest]:
+		return CookieVerdict{Action: Reset, Reason: RouteDropped, Server: s.ID}
+	case s.Phase == roster.Gone && now-s.goneAt > goneGrace:
+		return CookieVerdict{Action: Reset, Reason: ServerGone, Server: s.ID}
+	}
+	b.Load.Observe(now, key, s.ID, load.Packet{Data: h.Data, Ack: h.Ack, Finish: h.Finish})
+	return CookieVerdict{Action: Forward, Server: s.ID, Target: s.Address}
+}
+
+// start places a new flow. The cookie of an opening packet is the caller's and
+// means nothing.
+func (b *CookieBalancer) start(now time.Duration, h CookieHeader, key uint64) CookieVerdict {
+	if !b.configured {
+		return CookieVerdict{Action: Hold, Reason: NoConfig}
+	}
+	route, ok := b.config.Route(h.Dest)
+	if !ok {
+		return CookieVerdict{Action: Reset, Reason: NoRoute}
+	}
+	avoid := b.Load.Unanswered(now, key)
+	candidates := b.candidates[chooseService(route.Split, key)]
+	i := b.Load.Pick(now, b.Zone, candidates, key, avoid)
+	if i < 0 {
+		return CookieVerdict{Action: Hold, Reason: NoServer}
+	}
+	s := b.servers[candidates[i].ID]
+	b.Load.Open(now, key, s.ID)
+	return CookieVerdict{Action: Forward, Server: s.ID, Target: s.Address, Cookie: CookieOf(s.ID)}
+}
+
+// chooseService picks a service in proportion to the weights. Copies of one
+// opening packet choose alike on every instance.
+func chooseService(split []config.Share, key uint64) string {
+	total := uint64(0)
+	for _, s := range split {
+		total += uint64(max(s.Weight, 0))
+	}
+	if total == 0 {
+		return ""
+	}
+	point := place.Mix(key, total) % total
+	for _, s := range split {
+		weight := uint64(max(s.Weight, 0))
+		if point < weight {
+			return s.Service
+		}
+		point -= weight
+	}
+	return ""
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,302 @@
+// Package roster knows the backend servers from what they announce. It is soft
+// state: it needs no quorum and no disk, and any two holders that have heard the
+// same announcements, in any order and any number of times, agree.
+//
+// A Server is one backend server as last announced. Of two records with the same
+// identifier the newer incarnation wins, within an incarnation a farewell, then
+// the higher sequence, then silence (Server.Newer). Of two identifiers at one
+// address the newer incarnation wins and the other is gone.
+//
+// Control replicas take announcements and tell each other and the entry
+// instances what changed; what only proves that a backend server lives stays
+// among the replicas (Roster.Alive, Roster.Heard).
+//
+// # Usage
+//
+//	changed := r.Merge(now, server)       // announcements and records of others
+//	changed = r.Silence(now, limit)       // backend servers that went quiet
+//	for s := range r.All() { ... }
+//
+// A Roster belongs to one goroutine. Times are readings of one monotonic clock.
+package roster
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"boragepost/core/place"
+)
+
+// Phase is the stage of a backend server's life.
+type Phase uint8
+
+// The phases of a backend server.
+const (
+	Ready Phase = iota
+	Draining
+	Gone
+)
+
+// String returns the phase as logs show it.
+func (p Phase) String() string { return [...]string{"ready", "draining", "gone"}[min(p, Gone)] }
+
+// Server is one backend server as last announced. It is an immutable value.
+type Server struct {
+	// ID is the number that addresses the backend server on the wire; 0 is not
+	// used.
+	ID uint64 `cbor:"1,keyasint"`
+	// Incarnation orders the starts under one identifier and at one address: the
+	// Unix milliseconds of the start; 0 when it is not known.
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	// Sequence orders the announcements of one incarnation.
+	Sequence uint64         `cbor:"3,keyasint,omitempty"`
+	Service  string         `cbor:"4,keyasint,omitempty"`
+	Address  netip.AddrPort `cbor:"5,keyasint,omitempty"`
+	Zone     string         `cbor:"6,keyasint,omitempty"`
+	Slots    int            `cbor:"7,keyasint,omitempty"`
+	Phase    Phase          `cbor:"8,keyasint,omitempty"`
+	// Silent says that no announcement after Sequence has arrived in time.
+	Silent bool `cbor:"9,keyasint,omitempty"`
+	// Warming is how much longer the backend server is slow after its start, as
+	// of the announcement.
+	Warming time.Duration `cbor:"10,keyasint,omitempty"`
+}
+
+// WithPhase returns a copy in another phase.
+func (s Server) WithPhase(p Phase) Server {
+	s.Phase = p
+	return s
+}
+
+// WithSilence returns a copy that is marked as silent or not.
+func (s Server) WithSilence(silent bool) Server {
+	s.Silent = silent
+	return s
+}
+
+// Newer reports whether s replaces o, a record with the same identifier.
+func (s Server) Newer(o Server) bool {
+	if s.Incarnation != o.Incarnation {
+		return s.Incarnation > o.Incarnation
+	}
+	if (s.Phase == Gone) != (o.Phase == Gone) {
+		return s.Phase == Gone
+	}
+	if s.Sequence != o.Sequence {
+		return s.Sequence > o.Sequence
+	}
+	if s.Phase != o.Phase {
+		return s.Phase > o.Phase
+	}
+	return s.Silent && !o.Silent
+}
+
+// sameUse reports whether two records of one backend server are used alike.
+func (s Server) sameUse(o Server) bool {
+	s.Sequence, s.Warming = o.Sequence, o.Warming
+	return s == o
+}
+
+// Roster is a set of backend servers. The zero value is empty.
+type Roster struct {
+	servers map[uint64]*entry
+	// byAddress finds the identifier that uses an address now.
+	byAddress map[netip.AddrPort]uint64
+	heard     map[uint64]Sign // announcements since the last call of Heard
+}
+
+type entry struct {
+	server Server
+	heard  time.Duration // when the latest sign of life arrived
+}
+
+// Sign is a sign of life: the incarnation and sequence of an announcement that
+// changed nothing else.
+type Sign struct {
+	ID          uint64 `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	Sequence    uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// GoneTimeout is how long a backend server that is gone is remembered, so that a
+// late announcement of it is recognized. It is far above the lifetime of a flow
+// and of a partition that is likely to heal by itself.
+const GoneTimeout = 10 * time.Minute
+
+// Get returns a record by identifier.
+func (r *Roster) Get(id uint64) (Server, bool) {
+	e, ok := r.servers[id]
+	if !ok {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
+// Len returns the number of backend servers, gone ones included.
+func (r *Roster) Len() int { return len(r.servers) }
+
+// All returns the records in the order of their identifiers.
+func (r *Roster) All() iter.Seq[Server] {
+	return func(yield func(Server) bool) {
+		for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+			if !yield(r.servers[id].server) {
+				return
+			}
+		}
+	}
+}
+
+// Digest returns a hash of how the backend servers are used. Rosters with equal
+// digests place flows alike.
+func (r *Roster) Digest() uint64 {
+	sum := uint64(0)
+	for id, e := range r.servers {
+		state := uint64(e.server.Phase)
+		if e.server.Silent {
+			state |= 1 << 8
+		}
+		sum ^= place.Mix(place.Mix(id, e.server.Incarnation), state)
+	}
+	return sum
+}
+
+// Merge takes in a record and returns what others must be told: the records that
+// changed in use, or, when the record is older than the one held, the one held.
+func (r *Roster) Merge(now time.Duration, s Server) (changed []Server, stale bool) {
+	old, known := r.servers[s.ID]
+	if known && !s.Newer(old.server) {
+		return nil, old.server.Newer(s)
+	}
+	if s.Phase != Gone && r.outlived(s) {
+		s.Phase = Gone
+		if known && !s.Newer(old.server) {
+			return nil, false
+		}
+	}
+	used := !known || !s.sameUse(old.server)
+	r.put(now, s)
+	if used {
+		changed = append(changed, s)
+	}
+	return append(changed, r.claim(now, s)...), false
+}
+
+// outlived reports whether a newer incarnation uses the record's address.
+func (r *Roster) outlived(s Server) bool {
+	user, ok := r.byAddress[s.Address]
+	if !ok || user == s.ID {
+		return false
+	}
+	return r.servers[user].server.Incarnation > s.Incarnation
+}
+
+// claim gives the record's address to it and marks a former user as gone.
+func (r *Roster) claim(now time.Duration, s Server) []Server {
+	if s.Phase == Gone || !s.Address.IsValid() {
+		return nil
+	}
+	if r.byAddress == nil {
+		r.byAddress = map[netip.AddrPort]uint64{}
+	}
+	former, ok := r.byAddress[s.Address]
+	r.byAddress[s.Address] = s.ID
+	if !ok || former == s.ID {
+		return nil
+	}
+	old := r.servers[former]
+	if old == nil || old.server.Address != s.Address || old.server.Phase == Gone {
+		return nil
+	}
+	gone := old.server.WithPhase(Gone)
+	r.put(now, gone)
+	return []Server{gone}
+}
+
+func (r *Roster) put(now time.Duration, s Server) {
+	if r.servers == nil {
+		r.servers = map[uint64]*entry{}
+	}
+	old, known := r.servers[s.ID]
+	if known && old.server.Address != s.Address && r.byAddress[old.server.Address] == s.ID {
+		delete(r.byAddress, old.server.Address)
+	}
+	e := &entry{server: s, heard: now}
+	if s.Silent && known {
+		e.heard = old.heard
+	}
+	r.servers[s.ID] = e
+}
+
+// Announced merges an announcement that the backend server itself has just made,
+// and notes it for Heard.
+func (r *Roster) Announced(now time.Duration, s Server) (changed []Server) {
+	changed, _ = r.Merge(now, s)
+	if e, ok := r.servers[s.ID]; ok && e.server.Incarnation == s.Incarnation && e.server.Sequence == s.Sequence {
+		if r.heard == nil {
+			r.heard = map[uint64]Sign{}
+		}
+		r.heard[s.ID] = Sign{ID: s.ID, Incarnation: s.Incarnation, Sequence: s.Sequence}
+	}
+	return changed
+}
+
+// Heard returns the signs of life since its last call, for the other replicas.
+func (r *Roster) Heard() []Sign {
+	signs := slices.SortedFunc(maps.Values(r.heard), func(a, b Sign) int { return cmp.Compare(a.ID, b.ID) })
+	clear(r.heard)
+	return signs
+}
+
+// Alive takes in signs of life that another replica heard. It returns the
+// records that are no longer silent.
+func (r *Roster) Alive(now time.Duration, signs []Sign) (changed []Server) {
+	for _, sign := range signs {
+		e, ok := r.servers[sign.ID]
+		if !ok || e.server.Incarnation != sign.Incarnation || e.server.Sequence >= sign.Sequence {
+			continue
+		}
+		s := e.server.WithSilence(false)
+		s.Sequence = sign.Sequence
+		c, _ := r.Merge(now, s)
+		changed = append(changed, c...)
+	}
+	return changed
+}
+
+// Silence marks the backend servers of which nothing was heard for longer than
+// limit, and returns the records that changed.
+func (r *Roster) Silence(now, limit time.Duration) (changed []Server) {
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		e := r.servers[id]
+		if e.server.Phase == Gone || e.server.Silent || now-e.heard <= limit {
+			continue
+		}
+		c, _ := r.Merge(now, e.server.WithSilence(true))
+		changed = append(changed, c...)
+	}
+	return changed
+}
+
+// Forget drops the backend servers that have been gone for longer than
+// GoneTimeout, and returns how many.
+func (r *Roster) Forget(now time.Duration) int {
+	before := len(r.servers)
+	for id, e := range r.servers {
+		if e.server.Phase == Gone && now-e.heard > GoneTimeout {
+			r.forget(id)
+		}
+	}
+	return before - len(r.servers)
+}
+
+func (r *Roster) forget(id uint64) {
+	s := r.servers[id].server
+	if r.byAddress[s.Address] == id {
+		delete(r.byAddress, s.Address)
+	}
+	delete(r.servers, id)
+}
