Notice silent links, store a replica's identity, and count suspended time

Cause: a connection between our processes may fall silent without an error; a data folder must say which replica it is; the monotonic clock stands still while a machine is suspended.

Change: links send heartbeats on request and end after three silent intervals; the data folder has an identity file; timer.Boot counts suspended time. Existing users of these packages are unchanged.

--- a/io/links/links.go
+++ b/io/links/links.go
@@ -5,6 +5,11 @@
 // dials again when it breaks. Messages that cannot be sent are dropped: every
 // protocol above repeats what matters.
 //
+// A connection may fall silent without an error. With a heartbeat each side
+// sends an empty message when it has nothing else to send, and ends a connection
+// on which nothing has arrived for three intervals. Both sides must use the same
+// interval.
+//
 // # Usage
 //
 //	mux.Handle("/links/peer", links.Handler(func(c *links.Conn[Answer, Question]) {
@@ -32,6 +37,10 @@
 	writeTimeout    = 5 * time.Second
 	dialTimeout     = 2 * time.Second
 	redialDelay     = 100 * time.Millisecond
+
+	// silentHeartbeats is the number of heartbeats that may be missed, so that
+	// one lost packet and its retransmission do not end a connection.
+	silentHeartbeats = 3
 )
 
 // Meter counts the payload bytes of connections.
@@ -60,6 +69,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	meter  *Meter
+	// heartbeat is the interval of empty messages; 0 sends none.
+	heartbeat time.Duration
 }
 
 // outgoing is an encoded message with the meter that counts it.
@@ -68,12 +79,13 @@
 	meter *Meter
 }
 
-func newConn[S, R any](ctx context.Context, ws *websocket.Conn, meter *Meter) *Conn[S, R] {
+func newConn[S, R any](ctx context.Context, ws *websocket.Conn, meter *Meter, heartbeat time.Duration) *Conn[S, R] {
 	ws.SetReadLimit(maxMessageBytes)
 	if meter == nil {
 		meter = &Meter{}
 	}
-	c := &Conn[S, R]{ws: ws, out: make(chan outgoing, sendQueue), in: make(chan R), meter: meter}
+	c := &Conn[S, R]{
+		ws: ws, out: make(chan outgoing, sendQueue), in: make(chan R), meter: meter, heartbeat: heartbeat}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	go c.write()
 	go c.read()
@@ -112,30 +124,68 @@
 func (c *Conn[S, R]) write() {
 	defer c.ws.CloseNow()
 	defer c.cancel()
+	var beats <-chan time.Time
+	if c.heartbeat > 0 {
+		ticker := time.NewTicker(c.heartbeat)
+		defer ticker.Stop()
+		beats = ticker.C
+	}
+	busy := false // something was sent since the latest heartbeat
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
+		case <-beats:
+			if !busy && c.writeOne(nil) != nil {
+				return
+			}
+			busy = false
 		case o := <-c.out:
-			ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
-			err := c.ws.Write(ctx, websocket.MessageBinary, o.data)
-			cancel()
-			if err != nil {
+			if c.writeOne(o.data) != nil {
 				return
 			}
+			busy = true
 			o.meter.Sent.Add(int64(len(o.data)))
 		}
 	}
 }
 
+func (c *Conn[S, R]) writeOne(data []byte) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.limit(writeTimeout))
+	defer cancel()
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+// limit returns the silence after which the other side counts as lost, or
+// otherwise where there are no heartbeats.
+func (c *Conn[S, R]) limit(otherwise time.Duration) time.Duration {
+	if c.heartbeat == 0 {
+		return otherwise
+	}
+	return silentHeartbeats * c.heartbeat
+}
+
+func (c *Conn[S, R]) readOne() ([]byte, error) {
+	ctx, cancel := c.ctx, func() {}
+	if c.heartbeat > 0 {
+		ctx, cancel = context.WithTimeout(c.ctx, c.limit(0))
+	}
+	defer cancel()
+	_, data, err := c.ws.Read(ctx)
+	return data, err
+}
+
 func (c *Conn[S, R]) read() {
 	defer close(c.in)
 	defer c.cancel()
 	for {
-		_, data, err := c.ws.Read(c.ctx)
+		data, err := c.readOne()
 		if err != nil {
 			return
 		}
+		if len(data) == 0 {
+			continue // a heartbeat
+		}
 		var m R
 		if cbor.Unmarshal(data, &m) != nil {
 			return
@@ -149,14 +199,21 @@
 	}
 }
 
-// Handler accepts connections and runs serve for each of them.
+// Handler accepts connections without heartbeats and runs serve for each of them.
 func Handler[S, R any](ctx context.Context, meter *Meter, serve func(*Conn[S, R])) http.Handler {
+	return BeatingHandler(ctx, meter, 0, serve)
+}
+
+// BeatingHandler accepts connections with heartbeats and runs serve for each of
+// them.
+func BeatingHandler[S, R any](ctx context.Context, meter *Meter, heartbeat time.Duration,
+	serve func(*Conn[S, R])) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
 		}
-		c := newConn[S, R](ctx, ws, meter)
+		c := newConn[S, R](ctx, ws, meter, heartbeat)
 		defer c.Close()
 		serve(c)
 	})
@@ -168,7 +225,11 @@
 	Opened func(*Conn[S, R])
 	// Received runs for each message, in order.
 	Received func(R)
-	Meter    *Meter
+	// Closed runs when a connection that was opened has ended.
+	Closed func()
+	Meter  *Meter
+	// Heartbeat is the interval of heartbeats; 0 sends and expects none.
+	Heartbeat time.Duration
 }
 
 // Client keeps a connection to one of a list of addresses. Each time it dials
@@ -216,7 +277,7 @@
 
 func (c *Client[S, R]) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		conn, err := dial[S, R](ctx, c.urls[c.next%len(c.urls)], c.opts.Meter)
+		conn, err := dial[S, R](ctx, c.urls[c.next%len(c.urls)], c.opts)
 		c.next++
 		if err == nil {
 			c.serve(conn)
@@ -228,14 +289,18 @@
 	}
 }
 
-func dial[S, R any](ctx context.Context, url string, meter *Meter) (*Conn[S, R], error) {
-	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func dial[S, R any](ctx context.Context, url string, opts Options[S, R]) (*Conn[S, R], error) {
+	timeout := dialTimeout
+	if opts.Heartbeat > 0 {
+		timeout = silentHeartbeats * opts.Heartbeat
+	}
+	dctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ws, _, err := websocket.Dial(dctx, url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", url, err)
 	}
-	return newConn[S, R](ctx, ws, meter), nil
+	return newConn[S, R](ctx, ws, opts.Meter, opts.Heartbeat), nil
 }
 
 func (c *Client[S, R]) serve(conn *Conn[S, R]) {
@@ -245,6 +310,9 @@
 	if c.opts.Opened != nil {
 		c.opts.Opened(conn)
 	}
+	if c.opts.Closed != nil {
+		defer c.opts.Closed()
+	}
 	for m := range conn.Messages() {
 		if c.opts.Received != nil {
 			c.opts.Received(m)
--- /dev/null
+++ b/io/proto/plane.go
@@ -0,0 +1,89 @@
+package proto
+
+import (
+	"time"
+
+	"boragepost/core/config"
+	"boragepost/core/quorum"
+	"boragepost/core/roster"
+)
+
+// Paths of the links of networks that carry a flow cookie.
+const (
+	PlanePath = "/links/plane" // between control replicas
+	RelayPath = "/links/relay" // from entry instances to control replicas
+)
+
+// LinkHeartbeat is the interval of heartbeats on these links. A silent
+// connection is noticed within three of them, which leaves most of the shortest
+// time in which a change must be in force, 3 s, for the next connection.
+const LinkHeartbeat = 300 * time.Millisecond
+
+// ToPlane is a message between control replicas.
+type ToPlane struct {
+	Quorum *quorum.Message `cbor:"1,keyasint,omitempty"`
+	// Join is the identifier of a replica that wants to follow the log.
+	Join string `cbor:"2,keyasint,omitempty"`
+	// Roster brings records of backend servers, Confirmed answers it.
+	Roster    *Roster    `cbor:"3,keyasint,omitempty"`
+	Confirmed *Confirmed `cbor:"4,keyasint,omitempty"`
+	// Alive is sent at regular intervals.
+	Alive *Alive `cbor:"5,keyasint,omitempty"`
+	// Offer asks the leader to put a configuration into the log.
+	Offer *config.Configuration `cbor:"7,keyasint,omitempty"`
+	Read  *Read                 `cbor:"8,keyasint,omitempty"`
+	Proof *Proof                `cbor:"9,keyasint,omitempty"`
+}
+
+// Roster is records of backend servers that changed. A receiver answers a Serial
+// other than 0 with Confirmed once it has them.
+type Roster struct {
+	From    string          `cbor:"1,keyasint"`
+	Serial  uint64          `cbor:"2,keyasint,omitempty"`
+	Servers []roster.Server `cbor:"3,keyasint,omitempty"`
+}
+
+// Alive is the backend servers that the sender has heard lately, and a digest of
+// its roster. A receiver with another digest sends its own records.
+type Alive struct {
+	From   string        `cbor:"1,keyasint"`
+	Signs  []roster.Sign `cbor:"2,keyasint,omitempty"`
+	Digest uint64        `cbor:"3,keyasint,omitempty"`
+}
+
+// Confirmed says that the records of a serial have been taken in.
+type Confirmed struct {
+	By     string `cbor:"1,keyasint"`
+	Serial uint64 `cbor:"2,keyasint"`
+}
+
+// Read asks the leader which index is the newest.
+type Read struct {
+	From string `cbor:"1,keyasint"`
+	ID   uint64 `cbor:"2,keyasint"`
+}
+
+// Proof answers a Read: no entry after Index was committed when it was asked.
+type Proof struct {
+	ID    uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+// Subscribe opens a link of an entry instance.
+type Subscribe struct {
+	Instance string `cbor:"1,keyasint"`
+	Zone     string `cbor:"2,keyasint"`
+	// Version is the configuration that the instance has; 0 for none.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Update tells an entry instance what changed. The first one on a link holds
+// everything.
+type Update struct {
+	Config  *config.Delta   `cbor:"1,keyasint,omitempty"`
+	Servers []roster.Server `cbor:"2,keyasint,omitempty"`
+	// Replicas are the addresses of the control replicas, if they changed.
+	Replicas []string `cbor:"3,keyasint,omitempty"`
+	// Contact says whether the replica hears the leader, if that changed.
+	Contact *bool `cbor:"4,keyasint,omitempty"`
+}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -1,6 +1,7 @@
 // Package store keeps a control replica's log and snapshot on disk.
 //
-// The data folder holds two files. The file log is a sequence of records, each
+// The data folder holds three files. The file identity says which replica it is,
+// where the set of replicas is agreed. The file log is a sequence of records, each
 // with a checksum over its header and one over its contents; one Save is one
 // record and is synced before it returns. The file snapshot holds the latest
 // snapshot and replaces the log before it.
@@ -34,6 +35,7 @@
 	logName      = "log"
 	snapshotName = "snapshot"
 	lockName     = "lock"
+	identityName = "identity"
 
 	headerBytes = 16 // magic, length, contents checksum, header checksum
 	magic       = 0x62706c31
@@ -100,7 +102,7 @@
 }
 
 func (s *Store) load(saved *quorum.Saved) error {
-	if err := s.readSnapshot(&saved.Snapshot); err != nil {
+	if _, err := s.readFramed(snapshotName, &saved.Snapshot); err != nil {
 		return fmt.Errorf("read snapshot: %w", err)
 	}
 	path := filepath.Join(s.dir, logName)
@@ -126,6 +128,36 @@
 	return s.syncFolder()
 }
 
+// Identity says which replica a data folder belongs to. It is written once, before
+// the replica promises anything.
+type Identity struct {
+	ID string `cbor:"1,keyasint"`
+	// Founders are the first voters, if the replica is one of them.
+	Founders []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Identity returns the stored identity, and false when there is none.
+func (s *Store) Identity() (Identity, bool, error) {
+	var id Identity
+	found, err := s.readFramed(identityName, &id)
+	if err != nil {
+		return Identity{}, false, fmt.Errorf("read identity: %w", err)
+	}
+	return id, found, nil
+}
+
+// SaveIdentity makes the identity durable.
+func (s *Store) SaveIdentity(id Identity) error {
+	data, err := frame(id)
+	if err != nil {
+		return err
+	}
+	if err := s.replace(identityName, data); err != nil {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	return nil
+}
+
 // Close closes the data folder.
 func (s *Store) Close() error {
 	err := s.log.Close()
@@ -223,20 +255,22 @@
 	return nil
 }
 
-func (s *Store) readSnapshot(snap *quorum.Snapshot) error {
-	path := filepath.Join(s.dir, snapshotName)
+// readFramed reads a file that holds one record. It reports false when there is
+// no such file.
+func (s *Store) readFramed(name string, v any) (bool, error) {
+	path := filepath.Join(s.dir, name)
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	payload, size := unframe(data)
-	if size != len(data) {
-		return &CorruptError{File: path}
+	if size == 0 || size != len(data) {
+		return false, &CorruptError{File: path}
 	}
-	return cbor.Unmarshal(payload, snap)
+	return true, cbor.Unmarshal(payload, v)
 }
 
 // replay applies one log record to what has been read so far.
--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -2,12 +2,15 @@
 //
 //	timer.Sleep(ctx, time.Second)
 //	err := timer.Until(ctx, "the leader", func() bool { return hasLeader() })
+//	elapsed := timer.Boot() - before
 package timer
 
 import (
 	"context"
 	"fmt"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const pollInterval = 50 * time.Millisecond
@@ -33,3 +36,15 @@
 	}
 	return nil
 }
+
+// Boot returns the time since the machine was started. Unlike the monotonic
+// clock it also counts the time for which the machine was suspended, so a lease
+// that is measured with it cannot outlast its grant.
+func Boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Every kernel that Go supports has this clock.
+		panic(fmt.Sprintf("read boot clock: %v", err))
+	}
+	return time.Duration(ts.Nano())
+}
