Add the control role for networks with a flow cookie

Cause: the configuration as a whole under the operator's version, agreed by a set of replicas that find each other from seeds, and a roster that needs no quorum and no disk.

Change: package io/plane. Offers are acknowledged when the version has been applied here, so any replica can answer without a reply protocol; reads are proved by a round; an announcement never waits for a disk; one of a leaving backend server is acknowledged when a majority of replicas knows it.

--- /dev/null
+++ b/io/plane/loop.go
@@ -0,0 +1,200 @@
+package plane
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"boragepost/core/config"
+	"boragepost/core/quorum"
+	"boragepost/io/proto"
+	"boragepost/io/timer"
+)
+
+func (r *Replica) run() {
+	defer close(r.stopped)
+	defer r.store.Close()
+	defer r.server.Close()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case f := <-r.posts:
+			r.passTime()
+			f()
+			r.drainPosts()
+		case <-ticker.C:
+			r.passTime()
+			r.tick()
+		}
+		r.flush()
+	}
+}
+
+// drainPosts runs what else has been posted, so that one sync serves all of it.
+func (r *Replica) drainPosts() {
+	for range postQueue {
+		select {
+		case f := <-r.posts:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// passTime tells the node how much time has passed, also across a pause of the
+// process or the machine, before it acts on anything.
+func (r *Replica) passTime() {
+	ticks := uint64(r.now() / tickInterval)
+	if ticks > r.ticks {
+		r.node.Tick(ticks - r.ticks)
+		r.ticks = ticks
+	}
+}
+
+func (r *Replica) tick() {
+	now := r.now()
+	if r.node.HeardRecently() {
+		r.contact.Store(int64(now))
+	}
+	r.registry.setContact(r.node.HeardRecently())
+	member := r.node.Voter(r.id)
+	if (!member || !r.node.HeardRecently()) && now-r.joinedAt >= joinInterval {
+		r.joinedAt = now
+		r.mesh.broadcast(proto.ToPlane{Join: r.id})
+	}
+	r.mesh.link(r.knownAddresses())
+	r.registry.setReplicas(r.knownAddresses(), len(r.node.Peers()))
+	r.expireReads(now)
+}
+
+// flush carries out the node's output until there is none left.
+func (r *Replica) flush() {
+	for {
+		leader, term := r.node.Leader(), r.node.Term()
+		out := r.node.Take()
+		if !r.persist(out) {
+			return
+		}
+		for _, m := range out.Messages {
+			r.mesh.send(m.To, proto.ToPlane{Quorum: &m})
+		}
+		r.noteLeader(leader, term)
+		if out.Snapshot == nil && len(out.Committed) == 0 {
+			break
+		}
+		r.apply(out)
+	}
+	r.confirmReads()
+}
+
+// persist makes the output durable. A disk that fails is tried again until it
+// works; meanwhile the node stands still, so that the others elect another
+// leader. It reports false when the replica stops.
+func (r *Replica) persist(out quorum.Output) bool {
+	for {
+		err := r.write(out)
+		if err == nil {
+			if r.failing {
+				r.failing = false
+				r.log.Info("diskRegained")
+			}
+			return true
+		}
+		if !r.failing {
+			r.failing = true
+			r.log.WithError(err).Error("diskFailed")
+		}
+		timer.Sleep(r.ctx, diskRetry)
+		if r.ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+func (r *Replica) write(out quorum.Output) error {
+	if out.Snapshot == nil {
+		return r.store.Save(out.Hard, out.Append)
+	}
+	return r.store.SaveSnapshot(*out.Snapshot, r.node.Hard(), r.node.Tail())
+}
+
+// apply applies what was committed.
+func (r *Replica) apply(out quorum.Output) {
+	before := r.held.Configuration.Version
+	if out.Snapshot != nil {
+		var held config.Held
+		if err := cbor.Unmarshal(out.Snapshot.Data, &held); err != nil {
+			r.log.WithError(err).WithField("index", out.Snapshot.Index).Error("snapshotNotDecoded")
+		} else if held.Configuration.Version >= before {
+			r.held = held
+		}
+		r.log.WithField("index", out.Snapshot.Index).Info("snapshotInstalled")
+	}
+	for _, e := range out.Committed {
+		r.applyEntry(e)
+	}
+	r.answerAwaited()
+	if version := r.held.Configuration.Version; version != before {
+		r.current.Store(&r.held.Configuration)
+		close(r.changed)
+		r.changed = make(chan struct{})
+		r.registry.configured(r.held.Configuration)
+		r.log.WithField("version", version).WithField("former", before).
+			WithField("index", r.node.Applied()).Info("configurationInForce")
+	}
+	if err := r.maybeSnapshot(); err != nil {
+		r.log.WithError(err).Error("snapshotFailed")
+	}
+}
+
+func (r *Replica) applyEntry(e quorum.Entry) {
+	if len(e.Peers) > 0 {
+		r.log.WithField("peers", e.Peers).WithField("index", e.Index).Info("replicasChanged")
+	}
+	if len(e.Data) == 0 {
+		return
+	}
+	var c config.Configuration
+	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		r.log.WithError(err).WithField("index", e.Index).Error("entryNotDecoded")
+		return
+	}
+	r.held, _ = r.held.Offer(c)
+}
+
+// maybeSnapshot replaces a log that has grown long. A snapshot that cannot be
+// written is tried again after the next entry.
+func (r *Replica) maybeSnapshot() error {
+	tail := r.node.Tail()
+	size := 0
+	for _, e := range tail {
+		size += len(e.Data)
+	}
+	if len(tail) < snapshotEntries && size < snapshotBytes {
+		return nil
+	}
+	data, err := cbor.Marshal(r.held)
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	snap := r.node.Compact(r.node.Applied(), data)
+	if err := r.store.SaveSnapshot(snap, r.node.Hard(), r.node.Tail()); err != nil {
+		return fmt.Errorf("save snapshot: %w", err)
+	}
+	r.log.WithField("index", snap.Index).Info("snapshotSaved")
+	return nil
+}
+
+// noteLeader logs a change of leader or term.
+func (r *Replica) noteLeader(leader string, term uint64) {
+	if leader == r.node.Leader() && term == r.node.Term() {
+		return
+	}
+	r.log.WithField("leader", r.node.Leader()).WithField("term", r.node.Term()).
+		WithField("formerLeader", leader).Info("leaderChanged")
+}
--- /dev/null
+++ b/io/plane/mesh.go
@@ -0,0 +1,132 @@
+package plane
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"boragepost/core/quorum"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+// mesh holds a link to every other replica that is known: the seeds, the voters,
+// and those that asked to join.
+type mesh struct {
+	r     *Replica
+	mu    sync.Mutex
+	links map[string]*peerLink // by address
+}
+
+type peerLink struct {
+	client *links.Client[proto.ToPlane, proto.ToPlane]
+	close  context.CancelFunc
+}
+
+// maxLinks bounds the links; beyond the voters it leaves room for replacements.
+const maxLinks = 32
+
+func (m *mesh) init(r *Replica) {
+	m.r = r
+	m.links = map[string]*peerLink{}
+}
+
+// link opens links to addresses that have none.
+func (m *mesh) link(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range addresses {
+		if m.links[a] != nil || a == m.r.cfg.Listen.String() || len(m.links) >= maxLinks {
+			continue
+		}
+		ctx, cancel := context.WithCancel(m.r.ctx)
+		m.links[a] = &peerLink{close: cancel, client: links.NewClient(ctx, a, proto.PlanePath,
+			links.Options[proto.ToPlane, proto.ToPlane]{
+				Meter: &m.r.meter, Heartbeat: proto.LinkHeartbeat,
+				Opened: func(c *links.Conn[proto.ToPlane, proto.ToPlane]) {
+					m.r.log.WithField("peer", a).Info("peerFound")
+					c.Send(proto.ToPlane{Roster: &proto.Roster{From: m.r.id, Servers: m.r.registry.all()}})
+				},
+				Closed: func() { m.r.log.WithField("peer", a).Warn("peerLost") },
+			})}
+	}
+}
+
+// SetSeeds replaces the addresses from which other replicas are found. Links to
+// former seeds stay.
+func (r *Replica) SetSeeds(seeds []netip.AddrPort) {
+	r.post(r.ctx, func() { r.cfg.Seeds = seeds })
+}
+
+// send sends a message to a replica. Messages that cannot be sent are lost.
+func (m *mesh) send(id string, message proto.ToPlane) {
+	m.mu.Lock()
+	l := m.links[quorum.AddressOf(id)]
+	m.mu.Unlock()
+	if l != nil {
+		l.client.Send(message)
+	}
+}
+
+// broadcast sends a message to every replica that is known.
+func (m *mesh) broadcast(message proto.ToPlane) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.client.Send(message)
+	}
+}
+
+// servePlane handles the link of another replica.
+func (r *Replica) servePlane(c *links.Conn[proto.ToPlane, proto.ToPlane]) {
+	for m := range c.Messages() {
+		if !r.onPlane(m) {
+			return
+		}
+	}
+}
+
+// onPlane handles a message of another replica. It reports false when this
+// replica has stopped.
+func (r *Replica) onPlane(m proto.ToPlane) bool {
+	switch {
+	case m.Quorum != nil:
+		if m.Quorum.To != r.id {
+			return true // meant for a former disk at this address
+		}
+		return r.post(r.ctx, func() { r.node.Step(*m.Quorum) })
+	case m.Join != "":
+		return r.post(r.ctx, func() { r.onJoin(m.Join) })
+	case m.Offer != nil:
+		return r.post(r.ctx, func() { r.onOffer(m) })
+	case m.Read != nil:
+		return r.post(r.ctx, func() { r.onRead(*m.Read) })
+	case m.Proof != nil:
+		return r.post(r.ctx, func() { r.onProof(*m.Proof) })
+	case m.Roster != nil:
+		r.registry.onRoster(*m.Roster)
+	case m.Alive != nil:
+		r.registry.onAlive(*m.Alive)
+	case m.Confirmed != nil:
+		r.registry.onConfirmed(*m.Confirmed)
+	}
+	return true
+}
+
+// onJoin lets a replica follow the log, or passes its request on to the leader.
+func (r *Replica) onJoin(id string) {
+	r.mesh.link([]string{quorum.AddressOf(id)})
+	if r.node.Role() == quorum.Leader {
+		r.node.Admit(id)
+		return
+	}
+	if leader := r.node.Leader(); leader != "" && leader != id {
+		r.mesh.send(leader, proto.ToPlane{Join: id})
+	}
+}
+
+func (r *Replica) onOffer(m proto.ToPlane) {
+	if r.node.Role() == quorum.Leader {
+		r.offer(*m.Offer)
+	}
+}
--- /dev/null
+++ b/io/plane/registry.go
@@ -0,0 +1,357 @@
+package plane
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"boragepost/core/config"
+	"boragepost/core/roster"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+// registry holds the roster and tells entry instances and other replicas what
+// changed. It never waits for the disk or the quorum.
+type registry struct {
+	r        *Replica
+	mu       sync.Mutex
+	roster   roster.Roster
+	config   config.Configuration
+	replicas []string
+	voters   int
+	contact  bool
+	feeds    map[*feed]bool
+	serial   uint64
+	waiting  map[uint64]*confirmation
+	// settled has the incarnations whose leaving a majority of replicas knows.
+	settled map[uint64]uint64
+	// sentAll is when the whole roster was last sent to a replica.
+	sentAll map[string]time.Duration
+}
+
+type relayConn = links.Conn[proto.Update, proto.Subscribe]
+
+// feed is one linked entry instance.
+type feed struct {
+	conn *relayConn
+	sent config.Configuration // the configuration that the instance has
+}
+
+// confirmation counts the replicas that have taken in a change.
+type confirmation struct {
+	by   map[string]bool
+	done chan struct{} // closed when enough have
+	need int
+}
+
+const (
+	// registryInterval is how often signs of life are exchanged and silence is
+	// looked for.
+	registryInterval = 500 * time.Millisecond
+	// confirmTimeout is how long an announcement waits for other replicas. It is
+	// well below the second within which the answer counts.
+	confirmTimeout = 600 * time.Millisecond
+)
+
+func (g *registry) init(r *Replica) {
+	g.r = r
+	g.config = r.held.Configuration
+	g.feeds = map[*feed]bool{}
+	g.waiting = map[uint64]*confirmation{}
+	g.settled = map[uint64]uint64{}
+	g.sentAll = map[string]time.Duration{}
+}
+
+// Announce takes in what a backend server says of itself. It returns nil when
+// the backend server may rely on it: this replica is in contact with a quorum,
+// and one that leaves is known as leaving to a majority of the replicas. The
+// announcement counts in any case.
+func (r *Replica) Announce(ctx context.Context, s roster.Server) error {
+	g := &r.registry
+	g.mu.Lock()
+	changed := g.roster.Announced(r.now(), s)
+	g.logChanges("announcement", changed)
+	leaving := s.Phase != roster.Ready && g.settled[s.ID] != s.Incarnation+1
+	if leaving && len(changed) == 0 {
+		changed = []roster.Server{s} // repeated: it may not have arrived everywhere
+	}
+	c := g.spread(changed, leaving)
+	g.mu.Unlock()
+	if !r.InContact() {
+		return ErrNoQuorum
+	}
+	if !leaving {
+		return nil
+	}
+	if err := g.wait(ctx, c); err != nil {
+		return err
+	}
+	g.settle(s)
+	return nil
+}
+
+// settle notes that a majority of the replicas knows that a backend server
+// leaves.
+func (g *registry) settle(s roster.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.settled) > maxWaiting {
+		clear(g.settled) // only costs another confirmation
+	}
+	g.settled[s.ID] = s.Incarnation + 1
+}
+
+// Farewell takes in that a backend server has left. A farewell from one that is
+// not known is accepted and changes nothing.
+func (r *Replica) Farewell(ctx context.Context, id, incarnation uint64) error {
+	g := &r.registry
+	g.mu.Lock()
+	s, known := g.roster.Get(id)
+	g.mu.Unlock()
+	if !known || incarnation != 0 && incarnation != s.Incarnation {
+		return nil
+	}
+	return r.Announce(ctx, s.WithPhase(roster.Gone))
+}
+
+// spread tells entry instances and replicas of changed records. With confirm it
+// returns what the replicas' confirmations are counted in.
+func (g *registry) spread(changed []roster.Server, confirm bool) *confirmation {
+	if len(changed) == 0 {
+		return nil
+	}
+	g.push(changed)
+	message := &proto.Roster{From: g.r.id, Servers: changed}
+	var c *confirmation
+	if confirm {
+		g.serial++
+		message.Serial = g.serial
+		c = g.confirmation()
+	}
+	g.r.mesh.broadcast(proto.ToPlane{Roster: message})
+	return c
+}
+
+// confirmation starts to count the confirmations of the present serial. With this
+// replica they make up a majority of the voters.
+func (g *registry) confirmation() *confirmation {
+	c := &confirmation{by: map[string]bool{}, done: make(chan struct{}), need: g.voters / 2}
+	if c.need == 0 {
+		close(c.done)
+	}
+	g.waiting[g.serial] = c
+	delete(g.waiting, g.serial-maxWaiting)
+	return c
+}
+
+// maxWaiting bounds the announcements that wait for confirmation.
+const maxWaiting = 1024
+
+func (g *registry) wait(ctx context.Context, c *confirmation) error {
+	timeout := time.NewTimer(confirmTimeout)
+	defer timeout.Stop()
+	select {
+	case <-c.done:
+		return nil
+	case <-timeout.C:
+		return ErrNoQuorum
+	case <-ctx.Done():
+		return ErrNoQuorum
+	}
+}
+
+// push sends changed records to every linked entry instance.
+func (g *registry) push(changed []roster.Server) {
+	if len(changed) == 0 {
+		return
+	}
+	for f := range g.feeds {
+		f.conn.Send(proto.Update{Servers: changed})
+	}
+}
+
+// onRoster takes in what another replica knows of backend servers.
+func (g *registry) onRoster(m proto.Roster) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.r.now()
+	var changed, newer []roster.Server
+	for _, s := range m.Servers {
+		c, stale := g.roster.Merge(now, s)
+		changed = append(changed, c...)
+		if held, ok := g.roster.Get(s.ID); ok && stale && (s.Silent || held.Phase != s.Phase) {
+			newer = append(newer, held)
+		}
+	}
+	g.logChanges("replica", changed)
+	g.push(append(changed, newer...))
+	if len(newer) > 0 {
+		// The sender judged by less than is known here.
+		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: newer}})
+	}
+	if m.Serial > 0 {
+		g.r.mesh.send(m.From, proto.ToPlane{Confirmed: &proto.Confirmed{By: g.r.id, Serial: m.Serial}})
+	}
+}
+
+// onAlive takes in which backend servers another replica has heard.
+func (g *registry) onAlive(m proto.Alive) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.r.now()
+	changed := g.roster.Alive(now, m.Signs)
+	g.logChanges("replica", changed)
+	g.push(changed)
+	if m.Digest != g.roster.Digest() && now-g.sentAll[m.From] > resendAll {
+		g.sentAll[m.From] = now
+		all := slices.Collect(g.roster.All())
+		g.r.mesh.send(m.From, proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: all}})
+	}
+}
+
+// resendAll bounds how often the whole roster goes to a replica that differs.
+const resendAll = time.Second
+
+func (g *registry) onConfirmed(m proto.Confirmed) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.waiting[m.Serial]
+	if c == nil || c.by[m.By] {
+		return
+	}
+	c.by[m.By] = true
+	if len(c.by) == c.need {
+		close(c.done)
+	}
+}
+
+// all returns every record, for a replica whose link has just opened.
+func (g *registry) all() []roster.Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(g.roster.All())
+}
+
+// configured tells the linked entry instances of a configuration.
+func (g *registry) configured(c config.Configuration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.config = c
+	for f := range g.feeds {
+		g.sendConfig(f)
+	}
+}
+
+func (g *registry) sendConfig(f *feed) {
+	if f.sent.Version >= g.config.Version {
+		return
+	}
+	delta := config.Diff(f.sent, g.config)
+	f.sent = g.config
+	f.conn.Send(proto.Update{Config: &delta})
+}
+
+// setReplicas tells the linked entry instances where the replicas are.
+func (g *registry) setReplicas(addresses []string, voters int) {
+	addresses = slices.Compact(slices.Sorted(slices.Values(addresses)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.voters = voters
+	if slices.Equal(addresses, g.replicas) {
+		return
+	}
+	g.replicas = addresses
+	for f := range g.feeds {
+		f.conn.Send(proto.Update{Replicas: addresses})
+	}
+}
+
+// setContact tells the linked entry instances whether this replica hears the
+// leader.
+func (g *registry) setContact(contact bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if contact == g.contact {
+		return
+	}
+	g.contact = contact
+	g.r.log.WithField("contact", contact).Info("contactChanged")
+	for f := range g.feeds {
+		f.conn.Send(proto.Update{Contact: &contact})
+	}
+}
+
+// serveRelay handles the link of an entry instance.
+func (g *registry) serveRelay(c *relayConn) {
+	hello, ok := <-c.Messages()
+	if !ok {
+		return
+	}
+	f := &feed{conn: c}
+	g.mu.Lock()
+	contact := g.contact
+	first := proto.Update{Servers: slices.Collect(g.roster.All()), Replicas: g.replicas, Contact: &contact}
+	if g.config.Version > 0 {
+		if hello.Version == g.config.Version {
+			f.sent = g.config
+		} else {
+			delta := config.Diff(config.Configuration{}, g.config)
+			first.Config, f.sent = &delta, g.config
+		}
+	}
+	c.Send(first)
+	g.feeds[f] = true
+	g.mu.Unlock()
+	log := g.r.log.WithField("instance", hello.Instance)
+	log.WithField("zone", hello.Zone).WithField("version", hello.Version).Info("instanceLinked")
+	for range c.Messages() {
+		// Entry instances send nothing else.
+	}
+	g.mu.Lock()
+	delete(g.feeds, f)
+	g.mu.Unlock()
+	log.Info("instanceUnlinked")
+}
+
+// run exchanges signs of life and looks for silence until ctx ends.
+func (g *registry) run(ctx context.Context) {
+	ticker := time.NewTicker(registryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.tick()
+		}
+	}
+}
+
+func (g *registry) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.r.mesh.broadcast(proto.ToPlane{Alive: &proto.Alive{
+		From: g.r.id, Signs: g.roster.Heard(), Digest: g.roster.Digest()}})
+	if !g.r.InContact() {
+		return // what others hear does not arrive here
+	}
+	if changed := g.roster.Silence(g.r.now(), g.r.cfg.ServerTimeout); len(changed) > 0 {
+		g.logChanges("silence", changed)
+		g.spread(changed, false)
+	}
+}
+
+// logChanges writes one line for each backend server that changed.
+func (g *registry) logChanges(source string, changed []roster.Server) {
+	for _, s := range changed {
+		g.r.log.WithFields(logrus.Fields{
+			"server": fmt.Sprintf("%x", s.ID), "service": s.Service, "address": s.Address, "phase": s.Phase.String(),
+			"silent": s.Silent, "incarnation": s.Incarnation, "sequence": s.Sequence, "source": source,
+		}).Info("serverChanged")
+	}
+}
