Add the entry role for networks with a flow cookie

Change: package io/relay. An instance follows up to three control replicas and takes what is newest from any of them, so that one that is cut off or behind does not hold it back. Packets that cannot be decided on yet are held for a bounded time.

--- /dev/null
+++ b/io/relay/packets.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"boragepost/core/flow"
+)
+
+const (
+	// holdInterval is how often held packets are decided on again; they are also
+	// tried whenever something was learned.
+	holdInterval = 100 * time.Millisecond
+	// holdTimeout is how long a packet is held. Callers repeat an opening packet
+	// up to 600 ms after the first and give up after 1.4 s.
+	holdTimeout = 800 * time.Millisecond
+	maxHeld     = 512
+)
+
+// heldPacket waits until the instance has learned where it goes.
+type heldPacket struct {
+	header flow.CookieHeader
+	data   []byte
+	since  time.Duration
+}
+
+// receive forwards packets until the socket is closed.
+func (r *Relay) receive() {
+	buf := make([]byte, maxPacket)
+	for {
+		n, _, err := r.conn.ReadFromUDPAddrPort(buf)
+		if r.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			r.counters.receiveErrors.Add(1)
+			continue
+		}
+		h, err := r.cfg.Wire.Parse(buf[:n])
+		if err != nil {
+			r.counters.malformed.Add(1)
+			continue
+		}
+		r.mu.Lock()
+		r.handle(r.now(), h, buf[:n])
+		r.mu.Unlock()
+	}
+}
+
+// handle decides on one packet and carries the decision out.
+func (r *Relay) handle(now time.Duration, h flow.CookieHeader, packet []byte) {
+	v := r.balancer.Decide(now, h)
+	if v.Action != flow.Hold {
+		r.act(h, packet, v)
+		return
+	}
+	if !r.learning(now) || len(r.held) >= maxHeld {
+		r.giveUp(h, v.Reason)
+		return
+	}
+	r.held = append(r.held, heldPacket{header: h, data: slices.Clone(packet), since: now})
+}
+
+// learning reports whether something may soon be learned that decides on a
+// packet: the links are young.
+func (r *Relay) learning(now time.Duration) bool {
+	return now-time.Duration(r.upstream.syncedAt.Load()) < learningTime
+}
+
+// learningTime is how long after its first complete update an instance may still
+// lack backend servers: they announce themselves anew to replicas that have just
+// started, about once a second.
+const learningTime = 2 * time.Second
+
+func (r *Relay) act(h flow.CookieHeader, packet []byte, v flow.CookieVerdict) {
+	switch v.Action {
+	case flow.Forward:
+		r.out = r.cfg.Wire.Frame(r.out[:0], packet, v.Server, v.Cookie)
+		r.send(r.out, v.Target)
+		r.counters.forwarded.Add(1)
+		if h.Start {
+			r.counters.opened.Add(1)
+		}
+	case flow.Reset:
+		r.reset(h, v.Reason)
+	default:
+		r.counters.drop(v.Reason)
+	}
+}
+
+// giveUp ends the wait of a packet. A new flow is refused, which is true: no
+// backend server has seen it. An established one is left to its caller's next
+// packet.
+func (r *Relay) giveUp(h flow.CookieHeader, reason flow.Reason) {
+	if h.Start {
+		r.reset(h, reason)
+		return
+	}
+	r.counters.drop(reason)
+}
+
+func (r *Relay) reset(h flow.CookieHeader, reason flow.Reason) {
+	var to netip.AddrPort
+	r.out, to = r.cfg.Wire.Reset(r.out[:0], h)
+	r.send(r.out, to)
+	r.counters.reset(reason)
+}
+
+func (r *Relay) send(datagram []byte, to netip.AddrPort) {
+	if _, err := r.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		r.counters.sendErrors.Add(1)
+	}
+}
+
+// retryHeld decides again on the packets that were held.
+func (r *Relay) retryHeld(now time.Duration) {
+	r.held = slices.DeleteFunc(r.held, func(p heldPacket) bool {
+		v := r.balancer.Decide(now, p.header)
+		switch {
+		case v.Action != flow.Hold:
+			r.act(p.header, p.data, v)
+		case now-p.since > holdTimeout:
+			r.giveUp(p.header, v.Reason)
+		default:
+			return false
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,178 @@
+// Package relay is the entry role for networks that carry a flow cookie: it
+// receives callers' packets and forwards each to the backend server that its
+// cookie names, or, for an opening packet, to one that it picks.
+//
+// An instance keeps links to a few control replicas, from which it learns the
+// configuration and the backend servers. It takes what is newest from any of
+// them, never goes back, and goes on with what it has when it is cut off. It
+// keeps nothing on disk and nothing that another instance would need.
+//
+// The format of packets is a seam (Wire), so that the network's names and bytes
+// stay outside.
+//
+// # Usage
+//
+//	r, err := relay.Start(ctx, relay.Config{Name: "entry-1", Packets: addr, Seeds: seeds, Wire: wire, Log: log})
+//	ready := r.Ready()      // for the network's readiness probe
+//	err = r.Shutdown(ctx)   // reports not ready, forwards on for the grace period
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"boragepost/core/flow"
+	"boragepost/io/timer"
+)
+
+const (
+	// packetBuffer holds the datagrams that arrive while the process does not
+	// run, for some 100 ms of 20,000 packets a second.
+	packetBuffer = 4 << 20
+	maxPacket    = 2048
+	// expireInterval is how often the load tracker drops what is outdated.
+	expireInterval = time.Second
+	// defaultIdleTimeout holds before the configuration names one.
+	defaultIdleTimeout = 15 * time.Second
+)
+
+// Wire is the format of packets.
+type Wire struct {
+	// Parse reads the header of a caller's packet. It returns an error for
+	// bytes that are no packet.
+	Parse func(packet []byte) (flow.CookieHeader, error)
+	// Frame appends to dst the datagram that carries a packet to a backend
+	// server. A cookie other than 0 is written into the packet.
+	Frame func(dst, packet []byte, server uint64, cookie flow.Cookie) []byte
+	// Reset appends to dst a reset for the caller of a packet, and returns the
+	// caller's address for it.
+	Reset func(dst []byte, h flow.CookieHeader) ([]byte, netip.AddrPort)
+}
+
+// Config is what an entry instance needs to run.
+type Config struct {
+	Name string
+	Zone string
+	// Packets is the address for datagrams.
+	Packets netip.AddrPort
+	// Seeds are link addresses of some control replicas.
+	Seeds []netip.AddrPort
+	Wire  Wire
+	// Grace is how long packets are forwarded on after a shutdown was asked for.
+	Grace time.Duration
+	Log   *logrus.Entry
+}
+
+// Relay is one running entry instance.
+type Relay struct {
+	cfg      Config
+	log      *logrus.Entry
+	conn     *net.UDPConn
+	start    time.Time
+	leaving  atomic.Bool
+	upstream upstream
+	counters counters
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopped  sync.WaitGroup
+
+	mu       sync.Mutex // guards what follows
+	balancer flow.CookieBalancer
+	held     []heldPacket
+	out      []byte // scratch for datagrams
+}
+
+// Start opens the packet address and runs an instance until ctx ends or Shutdown
+// or Close is called.
+func Start(ctx context.Context, cfg Config) (*Relay, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Packets))
+	if err != nil {
+		return nil, fmt.Errorf("open packet address: %w", err)
+	}
+	r := &Relay{cfg: cfg, log: cfg.Log.WithField("instance", cfg.Name), conn: conn, start: time.Now()}
+	if err := conn.SetReadBuffer(packetBuffer); err != nil {
+		r.log.WithError(err).Warn("packetBufferNotSet")
+	}
+	r.balancer.Zone = cfg.Zone
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	r.upstream.init(r)
+	r.stopped.Add(2)
+	go func() {
+		defer r.stopped.Done()
+		r.receive()
+	}()
+	go func() {
+		defer r.stopped.Done()
+		r.tick()
+	}()
+	r.log.WithField("packets", cfg.Packets).WithField("seeds", cfg.Seeds).Info("entryStarted")
+	return r, nil
+}
+
+// Ready reports whether the instance wants new flows: it can serve them and is
+// not leaving.
+func (r *Relay) Ready() bool {
+	if r.leaving.Load() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Ready()
+}
+
+// Shutdown reports not ready at once, forwards on for the grace period so that
+// the network can take the instance out, and ends it.
+func (r *Relay) Shutdown(ctx context.Context) error {
+	r.leaving.Store(true)
+	r.log.WithField("grace", r.cfg.Grace).Info("shutdownStarted")
+	timer.Sleep(ctx, r.cfg.Grace)
+	r.Close()
+	r.log.Info("shutdownFinished")
+	return nil
+}
+
+// Close ends the instance at once.
+func (r *Relay) Close() {
+	r.cancel()
+	r.conn.Close()
+	r.stopped.Wait()
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.start) }
+
+// tick retries held packets and expires what is outdated until ctx ends.
+func (r *Relay) tick() {
+	ticker := time.NewTicker(holdInterval)
+	defer ticker.Stop()
+	expired := r.now()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.mu.Lock()
+		now := r.now()
+		r.retryHeld(now)
+		if now-expired >= expireInterval {
+			expired = now
+			r.balancer.Load.Expire(now, r.idleTimeout())
+			r.balancer.Forget(now)
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (r *Relay) idleTimeout() time.Duration {
+	if c, ok := r.balancer.Config(); ok && c.IdleTimeout > 0 {
+		return c.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
--- /dev/null
+++ b/io/relay/upstream.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"boragepost/core/config"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+	"boragepost/io/timer"
+)
+
+const (
+	// maxLinks is the number of replicas that an instance follows: with two that
+	// are lost or cut off, a third still tells what is new.
+	maxLinks = 3
+	// reviewInterval is how often links are replaced.
+	reviewInterval = 500 * time.Millisecond
+	// patience is how long a link may be without use, down or to a replica
+	// without contact to the leader, before another replica is tried. It leaves
+	// half of the shortest time in which a change must be in force, 3 s.
+	patience = 1200 * time.Millisecond
+)
+
+type replicaConn = links.Conn[proto.Subscribe, proto.Update]
+
+// upstream keeps links to a few of the control replicas that are known.
+type upstream struct {
+	r        *Relay
+	mu       sync.Mutex
+	seeds    []string
+	known    []string // addresses of replicas, seeds included
+	links    map[string]*replicaLink
+	syncedAt atomic.Int64 // when the first update came; far ahead before it
+}
+
+// replicaLink is one followed replica.
+type replicaLink struct {
+	address   string
+	client    *links.Client[proto.Subscribe, proto.Update]
+	close     context.CancelFunc
+	up        bool
+	contact   bool
+	uselessAt time.Duration // since when it is down or without contact
+	// config is the configuration that the replica last sent on this link, which
+	// its next delta starts from. Another link may have brought a newer one. It
+	// belongs to the link's goroutine.
+	config config.Configuration
+}
+
+func (u *upstream) init(r *Relay) {
+	u.r = r
+	u.links = map[string]*replicaLink{}
+	u.syncedAt.Store(int64(1<<62 - 1))
+	r.SetSeeds(r.cfg.Seeds)
+	u.review()
+	r.stopped.Add(1)
+	go func() {
+		defer r.stopped.Done()
+		for r.ctx.Err() == nil {
+			timer.Sleep(r.ctx, reviewInterval)
+			u.review()
+		}
+	}()
+}
+
+// SetSeeds adds addresses from which control replicas are found.
+func (r *Relay) SetSeeds(seeds []netip.AddrPort) {
+	u := &r.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.seeds = nil
+	for _, s := range seeds {
+		u.seeds = append(u.seeds, s.String())
+	}
+	u.known = union(u.seeds, u.known)
+}
+
+// union returns the addresses of both lists, each once.
+func union(a, b []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
+
+// review replaces one link that has been useless for too long by one to another
+// replica, and opens links while there are too few.
+func (u *upstream) review() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var spare []string
+	for _, a := range u.known {
+		if u.links[a] == nil {
+			spare = append(spare, a)
+		}
+	}
+	rand.Shuffle(len(spare), func(i, j int) { spare[i], spare[j] = spare[j], spare[i] })
+	if worst := u.useless(); worst != nil && len(spare) > 0 {
+		worst.close()
+		delete(u.links, worst.address)
+	}
+	for len(u.links) < maxLinks && len(spare) > 0 {
+		u.open(spare[0])
+		spare = spare[1:]
+	}
+}
+
+// useless returns the link that has been useless for longest, and for longer than
+// patience, or nil.
+func (u *upstream) useless() *replicaLink {
+	var worst *replicaLink
+	for _, l := range u.links {
+		if l.up && l.contact || u.r.now()-l.uselessAt < patience {
+			continue
+		}
+		if worst == nil || l.uselessAt < worst.uselessAt {
+			worst = l
+		}
+	}
+	return worst
+}
+
+func (u *upstream) open(address string) {
+	l := &replicaLink{address: address, uselessAt: u.r.now()}
+	ctx, cancel := context.WithCancel(u.r.ctx)
+	l.close = cancel
+	u.links[address] = l
+	l.client = links.NewClient(ctx, address, proto.RelayPath, links.Options[proto.Subscribe, proto.Update]{
+		Heartbeat: proto.LinkHeartbeat,
+		Meter:     &u.r.counters.meter,
+		Opened:    func(c *replicaConn) { u.opened(l, c) },
+		Closed:    func() { u.closed(l) },
+		Received:  func(m proto.Update) { u.received(l, m) },
+	})
+}
+
+func (u *upstream) opened(l *replicaLink, c *replicaConn) {
+	u.r.mu.Lock()
+	held, _ := u.r.balancer.Config()
+	u.r.mu.Unlock()
+	l.config = held
+	c.Send(proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Version: held.Version})
+	u.r.log.WithField("replica", l.address).WithField("version", held.Version).Info("replicaFound")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	l.up = true
+}
+
+func (u *upstream) closed(l *replicaLink) {
+	u.r.log.WithField("replica", l.address).Warn("replicaLost")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	l.up, l.contact, l.uselessAt = false, false, u.r.now()
+}
+
+func (u *upstream) received(l *replicaLink, m proto.Update) {
+	u.note(l, m)
+	u.r.learn(l, m)
+}
+
+// note takes in what an update says of the replicas.
+func (u *upstream) note(l *replicaLink, m proto.Update) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if m.Contact != nil {
+		l.contact, l.uselessAt = *m.Contact, u.r.now()
+	}
+	if len(m.Replicas) > 0 {
+		u.known = union(u.seeds, m.Replicas)
+	}
+}
+
+// learn takes in an update of the configuration and the backend servers.
+func (r *Relay) learn(l *replicaLink, m proto.Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if m.Config != nil {
+		r.configure(l, m)
+	}
+	if len(m.Servers) > 0 {
+		r.balancer.Learn(now, m.Servers)
+	}
+	if _, ok := r.balancer.Config(); ok && int64(now) < r.upstream.syncedAt.Load() {
+		r.upstream.syncedAt.Store(int64(now))
+	}
+	r.retryHeld(now)
+}
+
+func (r *Relay) configure(l *replicaLink, m proto.Update) {
+	log := r.log.WithFields(logrus.Fields{"replica": l.address, "from": m.Config.From, "version": m.Config.To})
+	next, err := l.config.WithDelta(*m.Config)
+	if err != nil {
+		log.WithError(err).Warn("deltaNotApplied")
+		l.client.Reset() // a new link starts from the whole
+		return
+	}
+	l.config = next
+	former, _ := r.balancer.Config()
+	if r.balancer.Configure(next) {
+		log.WithField("former", former.Version).WithField("routes", len(next.Routes)).Info("configurationInForce")
+	}
+}
