--- a/cmd/boragepost/roles.go
+++ b/cmd/boragepost/roles.go
@@ -15,6 +15,7 @@
 	"boragepost/io/ctrl"
 	"boragepost/io/entry"
 	"boragepost/io/logs"
+	"boragepost/platform"
 )
 
 const shutdownTimeout = 60 * time.Second
@@ -28,6 +29,9 @@
 	controlSettings := c.Flag("settings", "Settings file.").Required().String()
 	commands["control"] = func(ctx context.Context) error { return runControl(ctx, *controlSettings) }
 
+	app.Command("platform", "Run the role that the users' platform assigns to this machine.")
+	commands["platform"] = func(ctx context.Context) error { return platform.Run(ctx, platform.SettingsPath()) }
+
 	c = app.Command("check", "Check a settings or services file and list every fault.")
 	file := c.Arg("file", "File to check.").Required().String()
 	commands["check"] = func(context.Context) error {
