Keep a copy of the roster on disk

Change: replicas write the roster beside the log, at most once a second and never while an announcement waits. It may be outdated: what does not announce itself becomes silent as before.

--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -156,6 +156,7 @@
 	r.mesh.link(r.knownAddresses())
 	go r.run()
 	go r.registry.run(r.ctx)
+	go r.registry.checkpoint(r.ctx)
 	r.log.WithField("listen", cfg.Listen).WithField("version", r.held.Configuration.Version).
 		WithField("peers", r.node.Peers()).Info("controlStarted")
 	return r, nil
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -65,6 +65,7 @@
 	g.waiting = map[uint64]*confirmation{}
 	g.settled = map[uint64]uint64{}
 	g.sentAll = map[string]time.Duration{}
+	g.restore()
 }
 
 // Announce takes in what a backend server says of itself. It returns nil when
@@ -232,9 +233,8 @@
 
 // all returns every record, for a replica whose link has just opened.
 func (g *registry) all() []roster.Server {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Collect(g.roster.All())
+	servers, _ := g.copy()
+	return servers
 }
 
 // configured tells the linked entry instances of a configuration.
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -1,7 +1,8 @@
 // Package store keeps a control replica's log and snapshot on disk.
 //
-// The data folder holds three files. The file identity says which replica it is,
-// where the set of replicas is agreed. The file log is a sequence of records, each
+// The data folder holds a few files. The file identity says which replica it is,
+// where the set of replicas is agreed. The file roster holds soft state that
+// shortens a restart and may be outdated. The file log is a sequence of records, each
 // with a checksum over its header and one over its contents; one Save is one
 // record and is synced before it returns. The file snapshot holds the latest
 // snapshot and replaces the log before it.
@@ -29,6 +30,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"boragepost/core/quorum"
+	"boragepost/core/roster"
 )
 
 const (
@@ -36,6 +38,7 @@
 	snapshotName = "snapshot"
 	lockName     = "lock"
 	identityName = "identity"
+	rosterName   = "roster"
 
 	headerBytes = 16 // magic, length, contents checksum, header checksum
 	magic       = 0x62706c31
@@ -158,6 +161,28 @@
 	return nil
 }
 
+// SaveRoster makes a copy of the backend servers durable. Unlike the other methods
+// it may be called from a goroutine of its own.
+func (s *Store) SaveRoster(servers []roster.Server) error {
+	data, err := frame(servers)
+	if err != nil {
+		return err
+	}
+	if err := s.replace(rosterName, data); err != nil {
+		return fmt.Errorf("write roster: %w", err)
+	}
+	return nil
+}
+
+// Roster returns the backend servers that were stored last.
+func (s *Store) Roster() ([]roster.Server, error) {
+	var servers []roster.Server
+	if _, err := s.readFramed(rosterName, &servers); err != nil {
+		return nil, fmt.Errorf("read roster: %w", err)
+	}
+	return servers, nil
+}
+
 // Close closes the data folder.
 func (s *Store) Close() error {
 	err := s.log.Close()
