Let candidates try again sooner where no lease rests on it

Ruled out: sending the same request again at each heartbeat, which does not help two candidates that met.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -163,11 +163,7 @@
 	n.restarted = saved.Hard.Term > 0
 	n.recovery.active = !cfg.Agreed && !saved.Hard.Admitted && len(cfg.Peers) > 1
 	n.resetTimeout()
-	if cfg.Agreed {
-		// A leader that lives is heard of well before this; its followers refuse
-		// the pre-vote anyway. When all replicas start anew, nobody has to wait.
-		n.timeout = uint64(cfg.HeartbeatTicks + cfg.Rand(cfg.ElectionTicks))
-	}
+	n.hurry()
 	return n
 }
 
@@ -383,6 +379,16 @@
 	n.timeout = uint64(n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks))
 }
 
+// hurry shortens the wait for the next campaign where no lease rests on it: the
+// node has just started, or campaigns already and may have met another
+// candidate, or a link that was not yet open. The followers of a leader that
+// lives refuse the pre-vote.
+func (n *Node) hurry() {
+	if n.cfg.Agreed {
+		n.timeout = uint64(n.cfg.HeartbeatTicks + n.cfg.Rand(n.cfg.ElectionTicks))
+	}
+}
+
 func (n *Node) become(role Role, term uint64, leader string) {
 	if term > n.hard.Term {
 		n.hard.Term, n.hard.Vote = term, ""
@@ -394,6 +400,7 @@
 
 func (n *Node) campaign(role Role) {
 	n.become(role, n.hard.Term, "")
+	n.hurry()
 	n.votes = map[string]bool{n.cfg.ID: true}
 	m := Message{Kind: KindPreVote, Term: n.hard.Term + 1}
 	if role == Candidate {
