--- a/core/quorum/shape.go
+++ b/core/quorum/shape.go
@@ -7,9 +7,9 @@
 
 // Shape bounds an agreed set of voters. Zero values take defaults.
 type Shape struct {
-	// Floor is the number of voters below which none is dropped. With f disks
-	// that may be lost together it is 2f+1, so that each commit reaches more
-	// disks than can be lost.
+	// Floor is the number of voters below which none is dropped that may come
+	// back. With f disks that may be lost together it is 2f+1, so that each
+	// commit reaches more disks than can be lost.
 	Floor int
 	// Ceiling is the number of voters above which learners stay learners.
 	Ceiling int
@@ -73,10 +73,14 @@
 	n.progress[id].joinedAt = n.now
 }
 
-// reshape proposes at most one change of the voters: a learner that has caught
-// up is added, then a voter that is lost is dropped. One change waits for the
+// reshape proposes at most one change of the voters. One change waits for the
 // commitment of the one before and for an entry of the leader's own term, so the
 // quorums of neighbouring sets always overlap.
+//
+// A voter whose disk is known to be lost is dropped first: it can never vote
+// again, so the smaller set asks no more of the others than the larger one did.
+// Then a learner that has caught up is added, and a silent voter is dropped that
+// is thereby replaced.
 func (n *Node) reshape() {
 	settled := n.log.shapedAt() <= n.log.commit && n.log.termAt(n.log.commit) == n.hard.Term
 	if !n.cfg.Agreed || !settled {
@@ -84,19 +88,23 @@
 	}
 	shape := n.cfg.Shape.withDefaults()
 	n.forgetLearners(shape)
-	peers := n.log.peers
-	lost := n.lostVoter(shape)
-	if id := n.readyLearner(); id != "" && (len(peers) < shape.Ceiling || lost != "") {
-		n.extend(Entry{Peers: append(slices.Clone(peers), id)})
-		return
-	}
-	if lost != "" && len(peers) > shape.Floor {
-		next := slices.DeleteFunc(slices.Clone(peers), func(id string) bool { return id == lost })
-		delete(n.progress, lost)
-		n.extend(Entry{Peers: next})
+	size := len(n.log.peers)
+	superseded, silent, ready := n.supersededVoter(), n.silentVoter(shape), n.readyLearner()
+	switch {
+	case superseded != "" && size >= shape.Floor:
+		n.drop(superseded)
+	case ready != "" && (size < shape.Ceiling || silent != ""):
+		n.extend(Entry{Peers: append(slices.Clone(n.log.peers), ready)})
+	case silent != "" && size > shape.Floor:
+		n.drop(silent)
 	}
 }
 
+func (n *Node) drop(lost string) {
+	delete(n.progress, lost)
+	n.extend(Entry{Peers: slices.DeleteFunc(slices.Clone(n.log.peers), func(id string) bool { return id == lost })})
+}
+
 // readyLearner returns a learner that holds everything committed, or "".
 func (n *Node) readyLearner() string {
 	for id, p := range n.progress {
@@ -107,35 +115,35 @@
 	return ""
 }
 
-// lostVoter returns the voter whose disk has been replaced, or else the one that
-// has been silent for longest and for too long, or "".
-func (n *Node) lostVoter(shape Shape) string {
-	lost := ""
+// supersededVoter returns a voter at whose address another replica answers, so
+// that its disk is lost, or "".
+func (n *Node) supersededVoter() string {
 	for _, id := range n.log.peers {
-		if id == n.cfg.ID {
-			continue
-		}
-		if n.superseded(id) {
-			return id
-		}
-		if n.now-n.progress[id].ackedAt <= shape.SilentTicks {
+		if id == n.cfg.ID || n.answers(n.progress[id]) {
 			continue
 		}
-		if lost == "" || n.progress[id].ackedAt < n.progress[lost].ackedAt {
-			lost = id
+		for other, p := range n.progress {
+			if other != id && AddressOf(other) == AddressOf(id) && n.answers(p) {
+				return id
+			}
 		}
 	}
-	return lost
+	return ""
 }
 
-// superseded reports whether another replica answers at the address of id.
-func (n *Node) superseded(id string) bool {
-	for other, p := range n.progress {
-		if other != id && AddressOf(other) == AddressOf(id) && n.answers(p) && !n.answers(n.progress[id]) {
-			return true
+// silentVoter returns the voter that has been silent for longest, and for too
+// long, or "".
+func (n *Node) silentVoter(shape Shape) string {
+	longest := ""
+	for _, id := range n.log.peers {
+		if id == n.cfg.ID || n.now-n.progress[id].ackedAt <= shape.SilentTicks {
+			continue
+		}
+		if longest == "" || n.progress[id].ackedAt < n.progress[longest].ackedAt {
+			longest = id
 		}
 	}
-	return false
+	return longest
 }
 
 // answers reports whether a replica has acknowledged something recently.
