--- /dev/null
+++ b/io/plane/status.go
@@ -0,0 +1,20 @@
+package plane
+
+import (
+	"boragepost/core/roster"
+)
+
+// ID returns the identifier of this replica, which belongs to its disk.
+func (r *Replica) ID() string { return r.id }
+
+// Voters returns the identifiers of the voting replicas as this replica knows
+// them, or nothing once it has stopped.
+func (r *Replica) Voters() []string {
+	var out []string
+	r.read(r.ctx, func() { out = r.node.Peers() })
+	return out
+}
+
+// Servers returns the backend servers that this replica knows, gone ones
+// included, in the order of their identifiers.
+func (r *Replica) Servers() []roster.Server { return r.registry.all() }
