Get from a request's identifier to its cause

Change: entry instances write a line for each flow that they place, refuse, reset or give up, and for the packet in which a request's identifier shows, with what decided it; both roles write what they believe of backend servers, configuration and peers. Lines about single flows are sampled, all lines go through a bounded queue that never blocks, and what is missing is counted in lines of its own. 'boragepost trace' follows an identifier or a flow over the logs of all processes; docs/OPERATIONS.md shows three failures with real lines, which a test plants with real processes and explains by that command alone.

The docs test now covers the events and metrics of the new roles. Found by writing it: nothing in the product.

--- a/cmd/boragepost/main.go
+++ b/cmd/boragepost/main.go
@@ -28,6 +28,7 @@
 	addResources(app, commands)
 	addDemo(app, commands)
 	addMeasure(app, commands)
+	addTrace(app, commands)
 	app.Command("version", "Print the version.")
 	commands["version"] = func(context.Context) error {
 		fmt.Println("boragepost", version)
--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -48,13 +48,16 @@
 }
 
 // CookieVerdict is the decision on one packet. Server and Target are set for
-// Forward, and Cookie for an opening packet, which has to carry it.
+// Forward, and Cookie for an opening packet, which has to carry it. Avoided is
+// the backend server that has not answered an earlier copy of the packet.
 type CookieVerdict struct {
 	Action Action
 	Reason Reason
 	Server uint64
 	Target netip.AddrPort
 	Cookie Cookie
+
+	Avoided uint64
 }
 
 // The reasons of decisions by cookie.
@@ -115,11 +118,10 @@
 // Config returns the configuration in force, and false before the first one.
 func (b *CookieBalancer) Config() (config.Configuration, bool) { return b.config, b.configured }
 
-// Learn takes in records of backend servers, in any order and from any source.
-// It keeps those that are gone, so that their flows are ended rather than left
-// without an answer.
-func (b *CookieBalancer) Learn(now time.Duration, servers []roster.Server) {
-	var changed []roster.Server
+// Learn takes in records of backend servers, in any order and from any source,
+// and returns those that changed. It keeps those that are gone, so that their
+// flows are ended rather than left without an answer.
+func (b *CookieBalancer) Learn(now time.Duration, servers []roster.Server) (changed []roster.Server) {
 	for _, s := range servers {
 		c, _ := b.roster.Merge(now, s)
 		changed = append(changed, c...)
@@ -133,6 +135,7 @@
 	if len(changed) > 0 {
 		b.index()
 	}
+	return changed
 }
 
 // Forget drops the backend servers that have been gone for long.
@@ -203,6 +206,17 @@
 	return s.Server, true
 }
 
+// Count returns the number of backend servers in a phase.
+func (b *CookieBalancer) Count(phase roster.Phase) int {
+	n := 0
+	for _, s := range b.servers {
+		if s.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether new flows can be served: there is a configuration, and a
 // backend server for some service.
 func (b *CookieBalancer) Ready() bool { return b.configured && len(b.candidates) > 0 }
@@ -246,7 +260,7 @@
 	}
 	s := b.servers[candidates[i].ID]
 	b.Load.Open(now, key, s.ID)
-	return CookieVerdict{Action: Forward, Server: s.ID, Target: s.Address, Cookie: CookieOf(s.ID)}
+	return CookieVerdict{Action: Forward, Server: s.ID, Target: s.Address, Cookie: CookieOf(s.ID), Avoided: avoid}
 }
 
 // chooseService picks a service in proportion to the weights. Copies of one
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -71,6 +71,9 @@
 
 // Tracker is the load as one instance sees it. The zero value works.
 type Tracker struct {
+	// Answered, if set, is told how long each request took.
+	Answered func(took time.Duration)
+
 	servers map[uint64]*server
 	flows   map[uint64]*record
 }
@@ -154,6 +157,9 @@
 		r.state, r.ack, r.since = busy, p.Ack, now
 	case r.state == busy && p.Ack != r.ack:
 		t.release(r)
+		if t.Answered != nil {
+			t.Answered(now - r.since)
+		}
 		r.since = now
 	}
 	if r.state == idle && p.Data {
--- a/io/demo/docs_test.go
+++ b/io/demo/docs_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -19,12 +21,14 @@
 	"boragepost/io/demo"
 	"boragepost/io/entry"
 	"boragepost/io/logs"
+	"boragepost/io/plane"
+	"boragepost/io/relay"
 )
 
 const root = "../../"
 
 func operatingPage(g *WithT) string {
-	page, err := os.ReadFile(root + "docs/OPERATING.md")
+	page, err := os.ReadFile(root + "docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	return string(page)
 }
@@ -83,19 +87,47 @@
 	e, err := entry.Start(ctx, entry.Config{Settings: site.Entries[0], Log: logs.Discard()})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer e.Close()
-	names := regexp.MustCompile(`(?m)^# TYPE (boragepost_\w+)`)
 	for _, addr := range []string{site.Controls[0].Listen.String(), site.Entries[0].Peer.String()} {
 		resp, err := http.Get("http://" + addr + "/metrics")
 		g.Expect(err).NotTo(HaveOccurred())
 		body, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		g.Expect(err).NotTo(HaveOccurred())
-		found := names.FindAllStringSubmatch(string(body), -1)
-		g.Expect(len(found)).To(BeNumerically(">", 4))
-		for _, m := range found {
-			g.Expect(page).To(ContainSubstring("`" + m[1] + "`"))
-		}
+		expectDocumented(g, page, string(body))
 	}
+	expectDocumented(g, page, served(g, relayMetrics(ctx, g)))
+	expectDocumented(g, page, served(g, planeMetrics(ctx, t, g)))
+}
+
+// expectDocumented checks that a page names every metric of a process.
+func expectDocumented(g *WithT, page, metrics string) {
+	names := regexp.MustCompile(`(?m)^# TYPE (boragepost_\w+)`)
+	found := names.FindAllStringSubmatch(metrics, -1)
+	g.Expect(len(found)).To(BeNumerically(">", 4))
+	for _, m := range found {
+		g.Expect(page).To(ContainSubstring("`" + m[1] + "`"))
+	}
+}
+
+func served(g *WithT, h http.Handler) string {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	g.Expect(w.Code).To(Equal(http.StatusOK))
+	return w.Body.String()
+}
+
+func relayMetrics(ctx context.Context, g *WithT) http.Handler {
+	r, err := relay.Start(ctx, relay.Config{Packets: netip.MustParseAddrPort("127.0.0.1:0"), Log: logs.Discard()})
+	g.Expect(err).NotTo(HaveOccurred())
+	context.AfterFunc(ctx, r.Close)
+	return r.Metrics()
+}
+
+func planeMetrics(ctx context.Context, t *testing.T, g *WithT) http.Handler {
+	r, err := plane.Start(ctx, plane.Config{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Data: t.TempDir(), Log: logs.Discard()})
+	g.Expect(err).NotTo(HaveOccurred())
+	return r.Metrics()
 }
 
 // TestEveryLogEventIsDocumented compares the event names in the source with the
@@ -103,9 +135,9 @@
 func TestEveryLogEventIsDocumented(t *testing.T) {
 	g := NewWithT(t)
 	page := operatingPage(g)
-	call := regexp.MustCompile(`\.(?:Info|Warn|Error)\("(\w+)"\)`)
+	call := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|t\.failure)\("(\w+)"`)
 	count := 0
-	err := filepath.WalkDir(root+"io", func(path string, _ os.DirEntry, err error) error {
+	walk := func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -118,7 +150,9 @@
 			g.Expect(page).To(ContainSubstring("`" + m[1] + "`"))
 		}
 		return nil
-	})
-	g.Expect(err).NotTo(HaveOccurred())
+	}
+	for _, dir := range []string{"io", "platform"} {
+		g.Expect(filepath.WalkDir(root+dir, walk)).To(Succeed())
+	}
 	g.Expect(count).To(BeNumerically(">", 10))
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -3,6 +3,9 @@
 //
 //	log := logs.New(os.Stderr, "info").WithField("instance", "entry-1")
 //	log.WithField("index", 12).Info("snapshotSaved")
+//
+// A Writer never blocks, and a Sampler bounds the lines that follow from the
+// load.
 package logs
 
 import (
@@ -12,6 +15,8 @@
 	"github.com/sirupsen/logrus"
 )
 
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes lines at or above the level to w. An unknown
 // level is an error.
 func New(w io.Writer, level string) (*logrus.Entry, error) {
@@ -28,7 +33,7 @@
 	logger.SetFormatter(&logrus.TextFormatter{
 		DisableColors:   true,
 		FullTimestamp:   true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
+		TimestampFormat: timestampFormat,
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyMsg: "event"},
 	})
 	return logrus.NewEntry(logger), nil
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -96,9 +96,11 @@
 // works; meanwhile the node stands still, so that the others elect another
 // leader. It reports false when the replica stops.
 func (r *Replica) persist(out quorum.Output) bool {
+	start := r.now()
 	for {
 		err := r.write(out)
 		if err == nil {
+			r.counters.syncSeconds.Observe((r.now() - start).Seconds())
 			if r.failing {
 				r.failing = false
 				r.log.Info("diskRegained")
@@ -195,6 +197,7 @@
 	if leader == r.node.Leader() && term == r.node.Term() {
 		return
 	}
+	r.counters.elections.Inc()
 	r.log.WithField("leader", r.node.Leader()).WithField("term", r.node.Term()).
 		WithField("formerLeader", leader).Info("leaderChanged")
 }
--- a/io/plane/newest.go
+++ b/io/plane/newest.go
@@ -36,6 +36,14 @@
 // moment after the call. It returns ErrNoQuorum when there is no proof before
 // ctx ends.
 func (r *Replica) Newest(ctx context.Context) (config.Configuration, error) {
+	start := r.now()
+	c, err := r.askUntilProved(ctx)
+	r.counters.reads.WithLabelValues(outcome(err)).Inc()
+	r.counters.readSeconds.Observe((r.now() - start).Seconds())
+	return c, err
+}
+
+func (r *Replica) askUntilProved(ctx context.Context) (config.Configuration, error) {
 	got := make(chan config.Configuration, 1)
 	answer := func() {
 		select {
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -110,6 +110,7 @@
 	current  atomic.Pointer[config.Configuration]
 	registry registry
 	mesh     mesh
+	counters *counters
 	posts    chan func()
 	offered  uint64 // highest version that this leader has in its log
 	term     uint64 // term of offered
@@ -186,6 +187,7 @@
 		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: rand.IntN,
 	}, saved)
 	r.contact.Store(-int64(contactTimeout))
+	r.counters = newCounters(r)
 	r.mesh.init(r)
 	r.registry.init(r)
 	return r, nil
@@ -229,6 +231,14 @@
 // when that cannot be confirmed before ctx ends; the configuration may still come
 // into force then, and offering it again is safe.
 func (r *Replica) Offer(ctx context.Context, c config.Configuration) error {
+	start := r.now()
+	err := r.offerUntilHeld(ctx, c)
+	r.counters.offers.WithLabelValues(outcome(err)).Inc()
+	r.counters.offerSeconds.Observe((r.now() - start).Seconds())
+	return err
+}
+
+func (r *Replica) offerUntilHeld(ctx context.Context, c config.Configuration) error {
 	retry := time.NewTicker(offerRetry)
 	defer retry.Stop()
 	for {
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"boragepost/core/config"
 	"boragepost/core/roster"
 	"boragepost/io/links"
+	"boragepost/io/logs"
 	"boragepost/io/proto"
 )
 
@@ -73,6 +71,14 @@
 // and one that leaves is known as leaving to a majority of the replicas. The
 // announcement counts in any case.
 func (r *Replica) Announce(ctx context.Context, s roster.Server) error {
+	start := r.now()
+	err := r.announce(ctx, s)
+	r.counters.announcements.WithLabelValues(outcome(err)).Inc()
+	r.counters.announceSeconds.Observe((r.now() - start).Seconds())
+	return err
+}
+
+func (r *Replica) announce(ctx context.Context, s roster.Server) error {
 	g := &r.registry
 	g.mu.Lock()
 	changed := g.roster.Announced(r.now(), s)
@@ -96,6 +102,13 @@
 	return nil
 }
 
+// linked returns the number of entry instances that are linked.
+func (g *registry) linked() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.feeds)
+}
+
 // settle notes that a majority of the replicas knows that a backend server
 // leaves.
 func (g *registry) settle(s roster.Server) {
@@ -349,9 +362,6 @@
 // logChanges writes one line for each backend server that changed.
 func (g *registry) logChanges(source string, changed []roster.Server) {
 	for _, s := range changed {
-		g.r.log.WithFields(logrus.Fields{
-			"server": fmt.Sprintf("%x", s.ID), "service": s.Service, "address": s.Address, "phase": s.Phase.String(),
-			"silent": s.Silent, "incarnation": s.Incarnation, "sequence": s.Sequence, "source": source,
-		}).Info("serverChanged")
+		g.r.log.WithFields(logs.Server(s)).WithField("source", source).Info("serverChanged")
 	}
 }
--- a/io/relay/packets.go
+++ b/io/relay/packets.go
@@ -34,12 +34,12 @@
 			return
 		}
 		if err != nil {
-			r.counters.receiveErrors.Add(1)
+			r.counters.receiveErrors.Inc()
 			continue
 		}
 		h, err := r.cfg.Wire.Parse(buf[:n])
 		if err != nil {
-			r.counters.malformed.Add(1)
+			r.counters.malformed.Inc()
 			continue
 		}
 		r.mu.Lock()
@@ -56,9 +56,10 @@
 		return
 	}
 	if !r.learning(now) || len(r.held) >= maxHeld {
-		r.giveUp(h, v.Reason)
+		r.giveUp(h, packet, v)
 		return
 	}
+	r.counters.held.Inc()
 	r.held = append(r.held, heldPacket{header: h, data: slices.Clone(packet), since: now})
 }
 
@@ -74,42 +75,48 @@
 const learningTime = 2 * time.Second
 
 func (r *Relay) act(h flow.CookieHeader, packet []byte, v flow.CookieVerdict) {
-	switch v.Action {
-	case flow.Forward:
-		r.out = r.cfg.Wire.Frame(r.out[:0], packet, v.Server, v.Cookie)
-		r.send(r.out, v.Target)
-		r.counters.forwarded.Add(1)
-		if h.Start {
-			r.counters.opened.Add(1)
-		}
-	case flow.Reset:
-		r.reset(h, v.Reason)
-	default:
-		r.counters.drop(v.Reason)
+	if v.Action == flow.Reset {
+		r.reset(h, packet, v)
+		return
+	}
+	r.out = r.cfg.Wire.Frame(r.out[:0], packet, v.Server, v.Cookie)
+	r.send(r.out, v.Target)
+	r.counters.forwarded.Inc()
+	switch {
+	case h.Start && v.Avoided != 0:
+		r.counters.repeated.Inc()
+		r.trace.copied(h, v)
+	case h.Start:
+		r.counters.opened.Inc()
+		r.trace.placed(h, v)
+	case h.Data:
+		r.trace.request(h, v, packet)
 	}
 }
 
 // giveUp ends the wait of a packet. A new flow is refused, which is true: no
 // backend server has seen it. An established one is left to its caller's next
 // packet.
-func (r *Relay) giveUp(h flow.CookieHeader, reason flow.Reason) {
+func (r *Relay) giveUp(h flow.CookieHeader, packet []byte, v flow.CookieVerdict) {
 	if h.Start {
-		r.reset(h, reason)
+		r.reset(h, packet, v)
 		return
 	}
-	r.counters.drop(reason)
+	r.counters.dropped.WithLabelValues(string(v.Reason)).Inc()
+	r.trace.dropped(h, v, packet)
 }
 
-func (r *Relay) reset(h flow.CookieHeader, reason flow.Reason) {
+func (r *Relay) reset(h flow.CookieHeader, packet []byte, v flow.CookieVerdict) {
 	var to netip.AddrPort
 	r.out, to = r.cfg.Wire.Reset(r.out[:0], h)
 	r.send(r.out, to)
-	r.counters.reset(reason)
+	r.counters.resets.WithLabelValues(string(v.Reason)).Inc()
+	r.trace.reset(h, v, packet)
 }
 
 func (r *Relay) send(datagram []byte, to netip.AddrPort) {
 	if _, err := r.conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		r.counters.sendErrors.Add(1)
+		r.counters.sendErrors.Inc()
 	}
 }
 
@@ -119,9 +126,10 @@
 		v := r.balancer.Decide(now, p.header)
 		switch {
 		case v.Action != flow.Hold:
+			r.counters.holdSeconds.Observe((now - p.since).Seconds())
 			r.act(p.header, p.data, v)
 		case now-p.since > holdTimeout:
-			r.giveUp(p.header, v.Reason)
+			r.giveUp(p.header, p.data, v)
 		default:
 			return false
 		}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -54,6 +54,9 @@
 	// Reset appends to dst a reset for the caller of a packet, and returns the
 	// caller's address for it.
 	Reset func(dst []byte, h flow.CookieHeader) ([]byte, netip.AddrPort)
+	// RequestID returns the identifier of the request that starts in a packet,
+	// for the log, or "" when it shows none. It may be nil.
+	RequestID func(packet []byte) string
 }
 
 // Config is what an entry instance needs to run.
@@ -78,7 +81,8 @@
 	start    time.Time
 	leaving  atomic.Bool
 	upstream upstream
-	counters counters
+	counters *counters
+	trace    trace
 	ctx      context.Context
 	cancel   context.CancelFunc
 	stopped  sync.WaitGroup
@@ -97,10 +101,13 @@
 		return nil, fmt.Errorf("open packet address: %w", err)
 	}
 	r := &Relay{cfg: cfg, log: cfg.Log.WithField("instance", cfg.Name), conn: conn, start: time.Now()}
+	r.counters = newCounters(r)
+	r.trace.init(r)
 	if err := conn.SetReadBuffer(packetBuffer); err != nil {
 		r.log.WithError(err).Warn("packetBufferNotSet")
 	}
 	r.balancer.Zone = cfg.Zone
+	r.balancer.Load.Answered = func(took time.Duration) { r.counters.answerSeconds.Observe(took.Seconds()) }
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	r.upstream.init(r)
 	r.stopped.Add(2)
@@ -161,6 +168,7 @@
 		r.mu.Lock()
 		now := r.now()
 		r.retryHeld(now)
+		r.trace.summarize(now)
 		if now-expired >= expireInterval {
 			expired = now
 			r.balancer.Load.Expire(now, r.idleTimeout())
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -83,6 +83,19 @@
 	u.known = union(u.seeds, u.known)
 }
 
+// linked returns the number of replicas that are linked.
+func (u *upstream) linked() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, l := range u.links {
+		if l.up {
+			n++
+		}
+	}
+	return n
+}
+
 // union returns the addresses of both lists, each once.
 func union(a, b []string) []string {
 	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
@@ -184,7 +197,7 @@
 		r.configure(l, m)
 	}
 	if len(m.Servers) > 0 {
-		r.balancer.Learn(now, m.Servers)
+		r.trace.learned(l.address, r.balancer.Learn(now, m.Servers))
 	}
 	if _, ok := r.balancer.Config(); ok && int64(now) < r.upstream.syncedAt.Load() {
 		r.upstream.syncedAt.Store(int64(now))
