--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -1,7 +1,6 @@
 package plane
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -92,13 +91,24 @@
 	r.confirmReads()
 }
 
-// persist makes the output durable. A disk that fails is tried again until it
-// works; meanwhile the node stands still, so that the others elect another
-// leader. It reports false when the replica stops.
+// persist makes the node's output durable. It reports false when the replica
+// stops.
 func (r *Replica) persist(out quorum.Output) bool {
+	return r.untilDurable(func() error {
+		if out.Snapshot == nil {
+			return r.store.Save(out.Hard, out.Append)
+		}
+		return r.store.SaveSnapshot(*out.Snapshot, r.node.Hard(), r.node.Tail())
+	})
+}
+
+// untilDurable repeats a write until the disk takes it; meanwhile the node stands
+// still, so that the others elect another leader. It reports false when the
+// replica stops.
+func (r *Replica) untilDurable(write func() error) bool {
 	start := r.now()
 	for {
-		err := r.write(out)
+		err := write()
 		if err == nil {
 			r.counters.syncSeconds.Observe((r.now() - start).Seconds())
 			if r.failing {
@@ -118,13 +128,6 @@
 	}
 }
 
-func (r *Replica) write(out quorum.Output) error {
-	if out.Snapshot == nil {
-		return r.store.Save(out.Hard, out.Append)
-	}
-	return r.store.SaveSnapshot(*out.Snapshot, r.node.Hard(), r.node.Tail())
-}
-
 // apply applies what was committed.
 func (r *Replica) apply(out quorum.Output) {
 	before := r.held.Configuration.Version
@@ -149,9 +152,7 @@
 		r.log.WithField("version", version).WithField("former", before).
 			WithField("index", r.node.Applied()).Info("configurationInForce")
 	}
-	if err := r.maybeSnapshot(); err != nil {
-		r.log.WithError(err).Error("snapshotFailed")
-	}
+	r.maybeSnapshot()
 }
 
 func (r *Replica) applyEntry(e quorum.Entry) {
@@ -169,27 +170,25 @@
 	r.held, _ = r.held.Offer(c)
 }
 
-// maybeSnapshot replaces a log that has grown long. A snapshot that cannot be
-// written is tried again after the next entry.
-func (r *Replica) maybeSnapshot() error {
+// maybeSnapshot replaces a log that has grown long.
+func (r *Replica) maybeSnapshot() {
 	tail := r.node.Tail()
 	size := 0
 	for _, e := range tail {
 		size += len(e.Data)
 	}
 	if len(tail) < snapshotEntries && size < snapshotBytes {
-		return nil
+		return
 	}
 	data, err := cbor.Marshal(r.held)
 	if err != nil {
-		return fmt.Errorf("encode snapshot: %w", err)
+		r.log.WithError(err).Error("snapshotNotEncoded")
+		return
 	}
 	snap := r.node.Compact(r.node.Applied(), data)
-	if err := r.store.SaveSnapshot(snap, r.node.Hard(), r.node.Tail()); err != nil {
-		return fmt.Errorf("save snapshot: %w", err)
+	if r.untilDurable(func() error { return r.store.SaveSnapshot(snap, r.node.Hard(), r.node.Tail()) }) {
+		r.log.WithField("index", snap.Index).Info("snapshotSaved")
 	}
-	r.log.WithField("index", snap.Index).Info("snapshotSaved")
-	return nil
 }
 
 // noteLeader logs a change of leader or term.
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -80,8 +80,15 @@
 type Store struct {
 	dir  string
 	log  file
-	size int64
+	size int64 // of the good part of the log
 	lock *os.File
+	// dirty says that the log may hold more than its good part.
+	dirty bool
+	// unfinished says that a snapshot was not completed, so that the log's name
+	// may stand for another file than log.
+	unfinished bool
+	// syncDir makes the names in the folder durable.
+	syncDir func(dir string) error
 }
 
 // Open opens a data folder, creating it if needed, and returns what it holds. It
@@ -96,7 +103,7 @@
 	if err != nil {
 		return nil, saved, fmt.Errorf("lock data folder: %w", err)
 	}
-	s := &Store{dir: dir, lock: lock}
+	s := &Store{dir: dir, lock: lock, syncDir: syncFolder}
 	if err := s.load(&saved); err != nil {
 		lock.Close()
 		return nil, quorum.Saved{}, err
@@ -128,7 +135,7 @@
 			return fmt.Errorf("drop torn record: %w", err)
 		}
 	}
-	return s.syncFolder()
+	return s.syncDir(s.dir)
 }
 
 // Identity says which replica a data folder belongs to. It is written once, before
@@ -192,8 +199,8 @@
 	return err
 }
 
-// Save makes a hard state, if set, and entries durable. After an error the file
-// is as it was before the call, or the error says that it is not.
+// Save makes a hard state, if set, and entries durable. After an error nothing of
+// the call counts, and it may be made again.
 func (s *Store) Save(hard *quorum.Hard, entries []quorum.Entry) error {
 	if hard == nil && len(entries) == 0 {
 		return nil
@@ -202,16 +209,23 @@
 	if err != nil {
 		return err
 	}
+	if s.unfinished {
+		return errUnfinished
+	}
+	if err := s.repair(); err != nil {
+		return err
+	}
+	s.dirty = true
 	if err := s.write(data); err != nil {
-		if undo := s.log.Truncate(s.size); undo != nil {
-			return fmt.Errorf("append to log: %w; cannot undo: %w", err, undo)
-		}
 		return fmt.Errorf("append to log: %w", err)
 	}
+	s.dirty = false
 	s.size += int64(len(data))
 	return nil
 }
 
+var errUnfinished = errors.New("the latest snapshot has to be saved again first")
+
 func (s *Store) write(data []byte) error {
 	if _, err := s.log.Write(data); err != nil {
 		return err
@@ -219,8 +233,22 @@
 	return s.log.Sync()
 }
 
+// repair cuts off what a failed call may have left.
+func (s *Store) repair() error {
+	if !s.dirty {
+		return nil
+	}
+	if err := s.log.Truncate(s.size); err != nil {
+		return fmt.Errorf("cut off torn record: %w", err)
+	}
+	s.dirty = false
+	return nil
+}
+
 // SaveSnapshot makes a snapshot durable and starts a new log with the hard state
-// and the entries after the snapshot.
+// and the entries after the snapshot. After an error the folder holds either the
+// old log or the new one, both of which are good; the call must be made again
+// before anything else is saved.
 func (s *Store) SaveSnapshot(snap quorum.Snapshot, hard quorum.Hard, tail []quorum.Entry) error {
 	data, err := frame(snap)
 	if err != nil {
@@ -233,6 +261,7 @@
 	if err != nil {
 		return err
 	}
+	s.unfinished = true
 	if err := s.replace(logName, data); err != nil {
 		return fmt.Errorf("start new log: %w", err)
 	}
@@ -242,6 +271,7 @@
 	}
 	s.log.Close()
 	s.log, s.size = f, int64(len(data))
+	s.dirty, s.unfinished = false, false
 	return nil
 }
 
@@ -265,11 +295,11 @@
 	if err := os.Rename(path+".tmp", path); err != nil {
 		return fmt.Errorf("replace file: %w", err)
 	}
-	return s.syncFolder()
+	return s.syncDir(s.dir)
 }
 
-func (s *Store) syncFolder() error {
-	d, err := os.Open(s.dir)
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
 	if err != nil {
 		return fmt.Errorf("open data folder: %w", err)
 	}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -98,6 +98,39 @@
 		Expect(saved.Entries).To(Equal(entries(7, 12)))
 	})
 
+	// until repeats a call as its callers do.
+	until := func(call func() error) {
+		GinkgoHelper()
+		Eventually(call, "5s", "1ms").Should(Succeed())
+	}
+
+	It("loses nothing and keeps nothing torn when the disk is full for a while", func() {
+		s, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		s.Fail(&store.Faults{TornWrites: 3, Truncates: 2, Syncs: 2})
+		until(func() error { return s.Save(nil, entries(11, 12)) })
+		until(func() error { return s.Save(&hard, entries(13, 13)) })
+		Expect(s.Close()).To(Succeed())
+		saved, err := read()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(saved.Entries).To(Equal(entries(1, 13)))
+	})
+
+	It("loses nothing when the folder fails while a snapshot takes the log's place", func() {
+		s, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		s.Fail(&store.Faults{Folders: 2})
+		snap := quorum.Snapshot{Index: 6, Term: 1, Data: []byte("state")}
+		Expect(s.SaveSnapshot(snap, hard, entries(7, 10))).To(MatchError(store.ErrFault), "the snapshot's own name")
+		Expect(s.SaveSnapshot(snap, hard, entries(7, 10))).To(MatchError(store.ErrFault))
+		until(func() error { return s.SaveSnapshot(snap, hard, entries(7, 10)) })
+		Expect(s.Save(nil, entries(11, 12))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		saved, err := read()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(saved.Entries).To(Equal(entries(7, 12)))
+	})
+
 	It("is used by one process at a time", func() {
 		s, _, err := store.Open(dir)
 		Expect(err).NotTo(HaveOccurred())
