Send a newcomer each entry once

A leader guessed where the logs meet while it already sent entries, and each refusal of what was under way sent them again.

Change: a peer is probed by empty appends until the end of the common log is known; then entries follow without waiting, at most 1 MB under way; what is not acknowledged for an election timeout is sent again.

--- /dev/null
+++ b/core/quorum/catchup_test.go
@@ -0,0 +1,93 @@
+package quorum_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"boragepost/core/quorum"
+)
+
+// lateLink delivers messages after a delay, in order.
+type lateLink struct {
+	delay uint64
+	queue []lateMessage
+}
+
+type lateMessage struct {
+	at uint64
+	m  quorum.Message
+}
+
+// TestNewcomerGetsALongLogOnce lets a replica join that has to learn a log of 5 MB
+// over links with a delay of 100 ms each way.
+func TestNewcomerGetsALongLogOnce(t *testing.T) {
+	g := NewWithT(t)
+	const entries, size, delay = 60, 90_000, 2
+	founders := []string{"a", "b", "c"}
+	nodes := map[string]*quorum.Node{}
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, id := range founders {
+		nodes[id] = quorum.New(quorum.Config{ID: id, Peers: founders, Agreed: true, Rand: random.IntN}, quorum.Saved{})
+	}
+	nodes["d~1"] = quorum.New(quorum.Config{ID: "d~1", Agreed: true, Rand: random.IntN}, quorum.Saved{})
+	link := &lateLink{}
+	bytes := 0
+	now := uint64(0)
+	run := func(ticks int) {
+		for range ticks {
+			now++
+			for _, n := range nodes {
+				n.Tick(1)
+			}
+			link.step(now, nodes, &bytes)
+		}
+	}
+	leader := func() *quorum.Node {
+		for _, n := range nodes {
+			if n.Role() == quorum.Leader {
+				return n
+			}
+		}
+		return nil
+	}
+	run(60)
+	g.Expect(leader()).NotTo(BeNil())
+	for range entries {
+		leader().Propose(make([]byte, size))
+		run(2)
+	}
+	link.delay, bytes = delay, 0
+	for range 20 {
+		if l := leader(); l != nil {
+			l.Admit("d~1")
+		}
+		run(10)
+	}
+	g.Expect(nodes["d~1"].Voter("d~1")).To(BeTrue())
+	g.Expect(bytes).To(BeNumerically("<=", entries*size*11/10), "each entry is sent once")
+}
+
+// step carries the messages that are due and takes new ones.
+func (l *lateLink) step(now uint64, nodes map[string]*quorum.Node, bytes *int) {
+	for range 4 {
+		for _, n := range nodes {
+			for _, m := range n.Take().Messages {
+				for _, e := range m.Entries {
+					*bytes += len(e.Data)
+				}
+				l.queue = append(l.queue, lateMessage{at: now + l.delay, m: m})
+			}
+		}
+		rest := l.queue[:0:0]
+		for _, q := range l.queue {
+			if q.at > now {
+				rest = append(rest, q)
+				continue
+			}
+			nodes[q.m.To].Step(q.m)
+		}
+		l.queue = rest
+	}
+}
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -36,6 +36,8 @@
 	Sent uint64 `cbor:"12,keyasint,omitempty"`
 	// Round is the leader's latest read round, echoed in the reply.
 	Round uint64 `cbor:"13,keyasint,omitempty"`
+	// Before is the index that a refused append rested on.
+	Before uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Step handles a message from another replica.
@@ -155,6 +157,7 @@
 	matches := m.Index <= n.log.commit || n.log.termAt(m.Index) == m.LogTerm && m.Index <= n.log.last()
 	if !matches {
 		reply.Reject = true
+		reply.Before = m.Index
 		reply.Index = min(n.log.last(), m.Index-1)
 		n.replyAppend(m.From, reply)
 		return
@@ -182,32 +185,3 @@
 	reply.Learner = n.recovery.active
 	n.send(to, reply)
 }
-
-func (n *Node) onAppendReply(m Message) {
-	if n.role != Leader {
-		return
-	}
-	p := n.progress[m.From]
-	if p == nil {
-		return // no longer a voter or learner
-	}
-	p.ackedAt = max(p.ackedAt, m.Sent)
-	p.round = max(p.round, m.Round)
-	p.learner = m.Learner
-	if m.Reject {
-		p.next = max(1, min(p.next-1, m.Index+1))
-		n.sendAppend(m.From)
-		return
-	}
-	p.snapshotAt = 0
-	p.match = max(p.match, m.Index)
-	p.next = max(p.next, p.match+1)
-	before := n.log.commit
-	n.advanceCommit()
-	switch {
-	case n.log.commit > before:
-		n.broadcast()
-	case p.next <= n.log.last():
-		n.sendAppend(m.From)
-	}
-}
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -98,9 +98,13 @@
 	defaultElectionTicks  = 10
 	defaultHeartbeatTicks = 2
 	maxEntriesPerMessage  = 256
-	// maxBytesPerMessage keeps an append below a second of the slowest link that
-	// replicas are expected to have, 8 Mbit/s. One entry is always sent.
-	maxBytesPerMessage = 1 << 20
+	// maxBytesPerMessage keeps an append below a quarter of a second of the
+	// slowest link that replicas are expected to have, 8 Mbit/s. One entry is
+	// always sent.
+	maxBytesPerMessage = 256 << 10
+	// maxBytesInFlight bounds what a replica has been sent and not acknowledged,
+	// so that one that is slow does not queue what it will not need.
+	maxBytesInFlight = 1 << 20
 )
 
 // Role is a node's part in the current term.
@@ -137,16 +141,6 @@
 	committed uint64 // highest index handed out as committed
 }
 
-// progress is what a leader knows of one peer.
-type progress struct {
-	match, next uint64
-	ackedAt     uint64 // send tick of the latest acknowledged message
-	learner     bool
-	snapshotAt  uint64 // tick at which a snapshot was sent; 0 for none
-	round       uint64 // latest read round that the peer acknowledged
-	joinedAt    uint64 // tick at which a learner last asked to join
-}
-
 // New returns a node that continues from what was saved.
 func New(cfg Config, saved Saved) *Node {
 	if cfg.ElectionTicks == 0 {
@@ -288,7 +282,7 @@
 func (n *Node) track(ids []string) {
 	for _, id := range ids {
 		if n.progress[id] == nil {
-			n.progress[id] = &progress{next: n.log.last() + 1, ackedAt: n.now, joinedAt: n.now}
+			n.progress[id] = &progress{probing: true, next: n.log.last() + 1, ackedAt: n.now, joinedAt: n.now}
 		}
 	}
 }
@@ -449,43 +443,6 @@
 	}
 }
 
-func (n *Node) sendAppend(id string) {
-	p := n.progress[id]
-	if p.next <= n.log.snapshot.Index {
-		n.sendSnapshot(id, p)
-		return
-	}
-	entries := fitting(n.log.slice(p.next, min(n.log.last(), p.next+maxEntriesPerMessage-1)))
-	n.send(id, Message{
-		Kind: KindAppend, Term: n.hard.Term, Index: p.next - 1, LogTerm: n.log.termAt(p.next - 1),
-		Entries: slices.Clone(entries), Commit: n.log.commit, Sent: n.now, Round: n.round,
-	})
-	// The next message continues after this one; a reply that rejects it says
-	// where to resume if it got lost.
-	p.next += uint64(len(entries))
-}
-
-// fitting returns the first entries that go into one message.
-func fitting(entries []Entry) []Entry {
-	size := 0
-	for i, e := range entries {
-		size += len(e.Data)
-		if size > maxBytesPerMessage && i > 0 {
-			return entries[:i]
-		}
-	}
-	return entries
-}
-
-func (n *Node) sendSnapshot(id string, p *progress) {
-	if p.snapshotAt != 0 && n.now-p.snapshotAt < uint64(n.cfg.ElectionTicks) {
-		return
-	}
-	p.snapshotAt = n.now
-	snap := n.log.snapshot
-	n.send(id, Message{Kind: KindSnapshot, Term: n.hard.Term, Snapshot: &snap, Sent: n.now})
-}
-
 func (n *Node) advanceCommit() {
 	var matches []uint64
 	for _, id := range n.log.peers {
