Let a newcomer answer a leader that is no seed

The log of the control machines shows two machines that had lost their disks 18 and 8 s before the final fault and had heard from the leader, but held nothing: a replica that knows no voters yet had links to the seeds only, and the leader was none of them. So its answers went nowhere, it was never added, and with two more disks lost two of five voters were left.

Change: the address of whoever leads is always linked. Changes of leader are logged now: the line compared the leader with itself and was never written.

Test: a site of six of which no seed leads; it fails without the change.

--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -74,7 +74,6 @@
 // flush carries out the node's output until there is none left.
 func (r *Replica) flush() {
 	for {
-		leader, term := r.node.Leader(), r.node.Term()
 		out := r.node.Take()
 		if !r.persist(out) {
 			return
@@ -82,7 +81,7 @@
 		for _, m := range out.Messages {
 			r.mesh.send(m.To, proto.ToPlane{Quorum: &m})
 		}
-		r.noteLeader(leader, term)
+		r.noteLeader()
 		if out.Snapshot == nil && len(out.Committed) == 0 {
 			break
 		}
@@ -192,11 +191,12 @@
 }
 
 // noteLeader logs a change of leader or term.
-func (r *Replica) noteLeader(leader string, term uint64) {
-	if leader == r.node.Leader() && term == r.node.Term() {
+func (r *Replica) noteLeader() {
+	leader, term := r.node.Leader(), r.node.Term()
+	if leader == r.leader && term == r.leaderTerm {
 		return
 	}
 	r.counters.elections.Inc()
-	r.log.WithField("leader", r.node.Leader()).WithField("term", r.node.Term()).
-		WithField("formerLeader", leader).Info("leaderChanged")
+	r.log.WithField("leader", leader).WithField("term", term).WithField("formerLeader", r.leader).Info("leaderChanged")
+	r.leader, r.leaderTerm = leader, term
 }
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -129,6 +129,9 @@
 	start    time.Duration
 	ticks    uint64
 	failing  bool // the latest write failed
+	// leader and leaderTerm are those that were last logged.
+	leader     string
+	leaderTerm uint64
 }
 
 // Start opens the data folder and runs a replica until ctx ends or Close is
@@ -339,5 +342,9 @@
 	for _, id := range r.node.Peers() {
 		out = append(out, quorum.AddressOf(id))
 	}
+	if leader := r.node.Leader(); leader != "" {
+		// A newcomer knows no voters yet, and has to answer this one.
+		out = append(out, quorum.AddressOf(leader))
+	}
 	return out
 }
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"boragepost/core/config"
+	"boragepost/core/quorum"
 	"boragepost/core/roster"
 	"boragepost/io/links"
 	"boragepost/io/logs"
@@ -239,6 +241,39 @@
 		offer(s.any(), 5)
 	})
 
+	It("admit a replica that knows the seeds alone, when none of them leads", func() {
+		s := newSite(3)
+		for range 3 {
+			s.start(freeAddress(), false)
+		}
+		Eventually(func() int { return len(s.any().Voters()) }, patience).Should(Equal(6))
+		for _, a := range s.seeds {
+			s.stop(a) // the last three are no quorum, so two come back
+			if a != s.seeds[2] {
+				continue
+			}
+			s.start(s.seeds[1], false)
+		}
+		others := func() bool {
+			leader := s.replicas[s.seeds[1]].Leader()
+			return leader != "" && !slices.Contains(s.seeds, netip.MustParseAddrPort(quorum.AddressOf(leader)))
+		}
+		if !others() {
+			Eventually(func() bool {
+				if s.replicas[s.seeds[1]].Leader() == s.replicas[s.seeds[1]].ID() {
+					s.stop(s.seeds[1])
+					time.Sleep(time.Second)
+					s.start(s.seeds[1], false)
+				}
+				return others()
+			}, "20s", "500ms").Should(BeTrue())
+		}
+		offer(s.any(), 4)
+		s.wipe(s.seeds[0])
+		r := s.start(s.seeds[0], false)
+		Eventually(r.Voters, patience).Should(ContainElement(r.ID()))
+	})
+
 	It("tell each other of backend servers, also without a quorum", func() {
 		s := newSite(3)
 		offer(s.any(), 1)
--- a/io/plane/status.go
+++ b/io/plane/status.go
@@ -15,6 +15,13 @@
 	return out
 }
 
+// Leader returns the identifier of the leader as this replica knows it, or "".
+func (r *Replica) Leader() string {
+	leader := ""
+	r.read(r.ctx, func() { leader = r.node.Leader() })
+	return leader
+}
+
 // Servers returns the backend servers that this replica knows, gone ones
 // included, in the order of their identifiers.
 func (r *Replica) Servers() []roster.Server { return r.registry.all() }
