Let entry instances that have lost every replica learn from another one

'boragepost trace' of a request that met its deadline shows its packets dropped for 9 s as unknownCookie by an instance that had lost all control replicas: its flow had been opened through another instance to a backend server that was started meanwhile, and the fabric had moved the flow. New flows of the same instance went to backend servers that had left (openingRepeated).

Ruled out: resetting such flows (an instance that is cut off cannot know that the flow's backend server is gone), gossip among all instances (bytes), and asking the backend server that the cookie names (its address is not known).

Change: whoever feeds entry instances tells each of four others, those of other zones first. Package io/feed is that feed, moved out of the control role.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -206,6 +206,10 @@
 	return s.Server, true
 }
 
+// Servers returns every backend server that the balancer knows, gone ones
+// included.
+func (b *CookieBalancer) Servers() []roster.Server { return slices.Collect(b.roster.All()) }
+
 // Count returns the number of backend servers in a phase.
 func (b *CookieBalancer) Count(phase roster.Phase) int {
 	n := 0
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,225 @@
+// Package feed tells subscribers what is in force: the configuration, as deltas
+// against what each has, and the backend servers that changed.
+//
+// Control replicas feed entry instances. An entry instance that has lost every
+// replica is fed by another entry instance, so a Hub tells its subscribers of a few
+// others. Records of backend servers may arrive in any order and more than once;
+// configurations go forward only.
+//
+// # Usage
+//
+//	hub := &feed.Hub{All: roster.All}
+//	mux.Handle(proto.RelayPath, hub.Handler(ctx, &meter))
+//	hub.Configure(configuration)
+//	hub.Push(changed)
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"boragepost/core/config"
+	"boragepost/core/roster"
+	"boragepost/io/links"
+	"boragepost/io/proto"
+)
+
+// neighbours is the number of other subscribers that each is told of: enough that
+// one is likely to live and to have replicas when some are lost together.
+const neighbours = 4
+
+type conn = links.Conn[proto.Update, proto.Subscribe]
+
+// Hub feeds its subscribers. The zero value has nothing to tell.
+type Hub struct {
+	// All returns every record of a backend server.
+	All func() []roster.Server
+	// Log, if set, is told of subscribers that come and go.
+	Log *logrus.Entry
+
+	mu          sync.Mutex
+	config      config.Configuration
+	replicas    []string
+	contact     bool
+	subscribers map[*subscriber]bool
+}
+
+// subscriber is one linked entry instance.
+type subscriber struct {
+	conn       *conn
+	address    string
+	zone       string
+	sent       config.Configuration // the configuration that it has
+	neighbours []string
+}
+
+// Handler accepts the links of subscribers until ctx ends.
+func (h *Hub) Handler(ctx context.Context, meter *links.Meter) http.Handler {
+	return links.BeatingHandler(ctx, meter, proto.LinkHeartbeat, h.serve)
+}
+
+// Linked returns the number of subscribers.
+func (h *Hub) Linked() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.subscribers)
+}
+
+// Configure tells the subscribers of a configuration.
+func (h *Hub) Configure(c config.Configuration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.config = c
+	for s := range h.subscribers {
+		if s.sent.Version >= c.Version {
+			continue
+		}
+		delta := config.Diff(s.sent, c)
+		s.sent = c
+		s.conn.Send(proto.Update{Config: &delta})
+	}
+}
+
+// Push tells the subscribers of records that changed.
+func (h *Hub) Push(changed []roster.Server) {
+	if len(changed) == 0 {
+		return
+	}
+	h.tell(proto.Update{Servers: changed})
+}
+
+// SetReplicas tells the subscribers where the control replicas are.
+func (h *Hub) SetReplicas(addresses []string) {
+	h.mu.Lock()
+	changed := !slices.Equal(addresses, h.replicas)
+	h.replicas = addresses
+	h.mu.Unlock()
+	if changed {
+		h.tell(proto.Update{Replicas: addresses})
+	}
+}
+
+// SetContact tells the subscribers whether what they are fed is up to date: there
+// is contact to a leader. It reports whether that changed.
+func (h *Hub) SetContact(contact bool) bool {
+	h.mu.Lock()
+	changed := contact != h.contact
+	h.contact = contact
+	h.mu.Unlock()
+	if changed {
+		h.tell(proto.Update{Contact: &contact})
+	}
+	return changed
+}
+
+func (h *Hub) tell(m proto.Update) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.subscribers {
+		s.conn.Send(m)
+	}
+}
+
+// serve feeds one subscriber until its link ends.
+func (h *Hub) serve(c *conn) {
+	hello, ok := <-c.Messages()
+	if !ok {
+		return
+	}
+	s := &subscriber{conn: c, address: hello.Address, zone: hello.Zone}
+	h.join(s, hello.Version)
+	// Records that are pushed from now on may overtake these.
+	c.Send(proto.Update{Servers: h.All()})
+	h.note("instanceLinked", hello)
+	for range c.Messages() {
+		// Subscribers send nothing else.
+	}
+	h.leave(s)
+	h.note("instanceUnlinked", hello)
+}
+
+func (h *Hub) note(event string, hello proto.Subscribe) {
+	if h.Log == nil {
+		return
+	}
+	h.Log.WithFields(logrus.Fields{
+		"instance": hello.Instance, "zone": hello.Zone, "version": hello.Version}).Info(event)
+}
+
+// join sends a new subscriber the configuration that it lacks and adds it.
+func (h *Hub) join(s *subscriber, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	contact := h.contact
+	first := proto.Update{Replicas: h.replicas, Contact: &contact}
+	if h.config.Version > 0 {
+		s.sent = h.config
+		if version != h.config.Version {
+			delta := config.Diff(config.Configuration{}, h.config)
+			first.Config = &delta
+		}
+	}
+	s.conn.Send(first)
+	if h.subscribers == nil {
+		h.subscribers = map[*subscriber]bool{}
+	}
+	h.subscribers[s] = true
+	h.introduce()
+}
+
+func (h *Hub) leave(s *subscriber) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.subscribers, s)
+	for other := range h.subscribers {
+		other.neighbours = slices.DeleteFunc(other.neighbours, func(a string) bool { return a == s.address })
+	}
+	h.introduce()
+}
+
+// introduce gives neighbours to the subscribers that have too few. Those of other
+// availability zones come first: what cuts one off may cut off its whole zone.
+func (h *Hub) introduce() {
+	for s := range h.subscribers {
+		if len(s.neighbours) >= neighbours {
+			continue
+		}
+		before := len(s.neighbours)
+		for _, other := range h.candidates(s) {
+			if len(s.neighbours) < neighbours {
+				s.neighbours = append(s.neighbours, other.address)
+			}
+		}
+		if len(s.neighbours) > before {
+			s.conn.Send(proto.Update{Neighbours: slices.Clone(s.neighbours)})
+		}
+	}
+}
+
+// candidates returns the subscribers that s has not been told of, in random order,
+// those of other availability zones first.
+func (h *Hub) candidates(s *subscriber) []*subscriber {
+	var near, far []*subscriber
+	for other := range h.subscribers {
+		known := other.address == "" || other.address == s.address || slices.Contains(s.neighbours, other.address)
+		switch {
+		case known:
+		case other.zone == s.zone:
+			near = append(near, other)
+		default:
+			far = append(far, other)
+		}
+	}
+	shuffle(near)
+	shuffle(far)
+	return append(far, near...)
+}
+
+func shuffle(s []*subscriber) {
+	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
+}
--- a/io/plane/counters.go
+++ b/io/plane/counters.go
@@ -98,7 +98,7 @@
 	gauge("servers_known", "Backend servers known, gone ones included.", func() float64 {
 		return float64(len(r.Servers()))
 	})
-	gauge("instances_linked", "Entry instances that are linked.", func() float64 { return float64(r.registry.linked()) })
+	gauge("instances_linked", "Entry instances that are linked.", func() float64 { return float64(r.registry.hub.Linked()) })
 	gauge("link_bytes", "Payload bytes on links, both ways.", func() float64 { return float64(r.meter.Total()) })
 }
 
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -60,14 +61,19 @@
 	if r.node.HeardRecently() {
 		r.contact.Store(int64(now))
 	}
-	r.registry.setContact(r.node.HeardRecently())
+	contact := r.node.HeardRecently()
+	if r.registry.hub.SetContact(contact) {
+		r.log.WithField("contact", contact).Info("contactChanged")
+	}
 	member := r.node.Voter(r.id)
 	if (!member || !r.node.HeardRecently()) && now-r.joinedAt >= joinInterval {
 		r.joinedAt = now
 		r.mesh.broadcast(proto.ToPlane{Join: r.id})
 	}
-	r.mesh.link(r.knownAddresses())
-	r.registry.setReplicas(r.knownAddresses(), len(r.node.Peers()))
+	known := slices.Compact(slices.Sorted(slices.Values(r.knownAddresses())))
+	r.mesh.link(known)
+	r.registry.hub.SetReplicas(known)
+	r.registry.setVoters(len(r.node.Peers()))
 	r.expireReads(now)
 }
 
@@ -147,7 +153,7 @@
 		r.current.Store(&r.held.Configuration)
 		close(r.changed)
 		r.changed = make(chan struct{})
-		r.registry.configured(r.held.Configuration)
+		r.registry.hub.Configure(r.held.Configuration)
 		r.log.WithField("version", version).WithField("former", before).
 			WithField("index", r.node.Applied()).Info("configurationInForce")
 	}
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -154,7 +154,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(proto.PlanePath, links.BeatingHandler(r.ctx, &r.meter, proto.LinkHeartbeat, r.servePlane))
-	mux.Handle(proto.RelayPath, links.BeatingHandler(r.ctx, &r.meter, proto.LinkHeartbeat, r.registry.serveRelay))
+	mux.Handle(proto.RelayPath, r.registry.hub.Handler(r.ctx, &r.meter))
 	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	go r.server.Serve(listener)
 	r.mesh.link(r.knownAddresses())
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -6,40 +6,28 @@
 	"sync"
 	"time"
 
-	"boragepost/core/config"
 	"boragepost/core/roster"
-	"boragepost/io/links"
+	"boragepost/io/feed"
 	"boragepost/io/logs"
 	"boragepost/io/proto"
 )
 
-// registry holds the roster and tells entry instances and other replicas what
+// registry holds the roster and, through its hub, tells entry instances and other replicas what
 // changed. It never waits for the disk or the quorum.
 type registry struct {
-	r        *Replica
-	mu       sync.Mutex
-	roster   roster.Roster
-	config   config.Configuration
-	replicas []string
-	voters   int
-	contact  bool
-	feeds    map[*feed]bool
-	serial   uint64
-	waiting  map[uint64]*confirmation
+	r       *Replica
+	mu      sync.Mutex
+	roster  roster.Roster
+	hub     feed.Hub
+	voters  int
+	serial  uint64
+	waiting map[uint64]*confirmation
 	// settled has the incarnations whose leaving a majority of replicas knows.
 	settled map[uint64]uint64
 	// sentAll is when the whole roster was last sent to a replica.
 	sentAll map[string]time.Duration
 }
 
-type relayConn = links.Conn[proto.Update, proto.Subscribe]
-
-// feed is one linked entry instance.
-type feed struct {
-	conn *relayConn
-	sent config.Configuration // the configuration that the instance has
-}
-
 // confirmation counts the replicas that have taken in a change.
 type confirmation struct {
 	by   map[string]bool
@@ -58,8 +46,8 @@
 
 func (g *registry) init(r *Replica) {
 	g.r = r
-	g.config = r.held.Configuration
-	g.feeds = map[*feed]bool{}
+	g.hub.All, g.hub.Log = g.all, r.log
+	g.hub.Configure(r.held.Configuration)
 	g.waiting = map[uint64]*confirmation{}
 	g.settled = map[uint64]uint64{}
 	g.sentAll = map[string]time.Duration{}
@@ -102,13 +90,6 @@
 	return nil
 }
 
-// linked returns the number of entry instances that are linked.
-func (g *registry) linked() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.feeds)
-}
-
 // settle notes that a majority of the replicas knows that a backend server
 // leaves.
 func (g *registry) settle(s roster.Server) {
@@ -139,7 +120,7 @@
 	if len(changed) == 0 {
 		return nil
 	}
-	g.push(changed)
+	g.hub.Push(changed)
 	message := &proto.Roster{From: g.r.id, Servers: changed}
 	var c *confirmation
 	if confirm {
@@ -179,16 +160,6 @@
 	}
 }
 
-// push sends changed records to every linked entry instance.
-func (g *registry) push(changed []roster.Server) {
-	if len(changed) == 0 {
-		return
-	}
-	for f := range g.feeds {
-		f.conn.Send(proto.Update{Servers: changed})
-	}
-}
-
 // onRoster takes in what another replica knows of backend servers.
 func (g *registry) onRoster(m proto.Roster) {
 	g.mu.Lock()
@@ -203,7 +174,7 @@
 		}
 	}
 	g.logChanges("replica", changed)
-	g.push(append(changed, newer...))
+	g.hub.Push(append(changed, newer...))
 	if len(newer) > 0 {
 		// The sender judged by less than is known here.
 		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: newer}})
@@ -220,7 +191,7 @@
 	now := g.r.now()
 	changed := g.roster.Alive(now, m.Signs)
 	g.logChanges("replica", changed)
-	g.push(changed)
+	g.hub.Push(changed)
 	if m.Digest != g.roster.Digest() && now-g.sentAll[m.From] > resendAll {
 		g.sentAll[m.From] = now
 		all := slices.Collect(g.roster.All())
@@ -250,85 +221,12 @@
 	return servers
 }
 
-// configured tells the linked entry instances of a configuration.
-func (g *registry) configured(c config.Configuration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.config = c
-	for f := range g.feeds {
-		g.sendConfig(f)
-	}
-}
-
-func (g *registry) sendConfig(f *feed) {
-	if f.sent.Version >= g.config.Version {
-		return
-	}
-	delta := config.Diff(f.sent, g.config)
-	f.sent = g.config
-	f.conn.Send(proto.Update{Config: &delta})
-}
-
-// setReplicas tells the linked entry instances where the replicas are.
-func (g *registry) setReplicas(addresses []string, voters int) {
-	addresses = slices.Compact(slices.Sorted(slices.Values(addresses)))
+// setVoters sets how many replicas vote, a majority of which has to know that a
+// backend server leaves.
+func (g *registry) setVoters(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.voters = voters
-	if slices.Equal(addresses, g.replicas) {
-		return
-	}
-	g.replicas = addresses
-	for f := range g.feeds {
-		f.conn.Send(proto.Update{Replicas: addresses})
-	}
-}
-
-// setContact tells the linked entry instances whether this replica hears the
-// leader.
-func (g *registry) setContact(contact bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if contact == g.contact {
-		return
-	}
-	g.contact = contact
-	g.r.log.WithField("contact", contact).Info("contactChanged")
-	for f := range g.feeds {
-		f.conn.Send(proto.Update{Contact: &contact})
-	}
-}
-
-// serveRelay handles the link of an entry instance.
-func (g *registry) serveRelay(c *relayConn) {
-	hello, ok := <-c.Messages()
-	if !ok {
-		return
-	}
-	f := &feed{conn: c}
-	g.mu.Lock()
-	contact := g.contact
-	first := proto.Update{Servers: slices.Collect(g.roster.All()), Replicas: g.replicas, Contact: &contact}
-	if g.config.Version > 0 {
-		if hello.Version == g.config.Version {
-			f.sent = g.config
-		} else {
-			delta := config.Diff(config.Configuration{}, g.config)
-			first.Config, f.sent = &delta, g.config
-		}
-	}
-	c.Send(first)
-	g.feeds[f] = true
-	g.mu.Unlock()
-	log := g.r.log.WithField("instance", hello.Instance)
-	log.WithField("zone", hello.Zone).WithField("version", hello.Version).Info("instanceLinked")
-	for range c.Messages() {
-		// Entry instances send nothing else.
-	}
-	g.mu.Lock()
-	delete(g.feeds, f)
-	g.mu.Unlock()
-	log.Info("instanceUnlinked")
+	g.voters = n
 }
 
 // run exchanges signs of life and looks for silence until ctx ends.
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -11,7 +11,7 @@
 // Paths of the links of networks that carry a flow cookie.
 const (
 	PlanePath = "/links/plane" // between control replicas
-	RelayPath = "/links/relay" // from entry instances to control replicas
+	RelayPath = "/links/relay" // from entry instances to whoever feeds them
 )
 
 // LinkHeartbeat is the interval of heartbeats on these links. A silent
@@ -75,15 +75,21 @@
 	Zone     string `cbor:"2,keyasint"`
 	// Version is the configuration that the instance has; 0 for none.
 	Version uint64 `cbor:"3,keyasint,omitempty"`
+	// Address is where the instance feeds others.
+	Address string `cbor:"4,keyasint,omitempty"`
 }
 
-// Update tells an entry instance what changed. The first one on a link holds
+// Update tells an entry instance what changed. The first ones on a link hold
 // everything.
 type Update struct {
 	Config  *config.Delta   `cbor:"1,keyasint,omitempty"`
 	Servers []roster.Server `cbor:"2,keyasint,omitempty"`
 	// Replicas are the addresses of the control replicas, if they changed.
 	Replicas []string `cbor:"3,keyasint,omitempty"`
-	// Contact says whether the replica hears the leader, if that changed.
+	// Contact says whether the sender is up to date, if that changed: a replica
+	// hears the leader, an entry instance such a replica.
 	Contact *bool `cbor:"4,keyasint,omitempty"`
+	// Neighbours are the addresses of a few other entry instances, if they
+	// changed.
+	Neighbours []string `cbor:"5,keyasint,omitempty"`
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -4,8 +4,9 @@
 //
 // An instance keeps links to a few control replicas, from which it learns the
 // configuration and the backend servers. It takes what is newest from any of
-// them, never goes back, and goes on with what it has when it is cut off. It
-// keeps nothing on disk and nothing that another instance would need.
+// them, never goes back, and goes on with what it has when it is cut off. When it
+// has lost every replica it learns from another entry instance. It keeps nothing on
+// disk and nothing that another instance would need.
 //
 // The format of packets is a seam (Wire), so that the network's names and bytes
 // stay outside.
@@ -21,6 +22,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -29,6 +31,9 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/flow"
+	"boragepost/core/roster"
+	"boragepost/io/feed"
+	"boragepost/io/proto"
 	"boragepost/io/timer"
 )
 
@@ -39,6 +44,7 @@
 	maxPacket    = 2048
 	// expireInterval is how often the load tracker drops what is outdated.
 	expireInterval = time.Second
+	headerTimeout  = 5 * time.Second
 	// defaultIdleTimeout holds before the configuration names one.
 	defaultIdleTimeout = 15 * time.Second
 )
@@ -63,8 +69,9 @@
 type Config struct {
 	Name string
 	Zone string
-	// Packets is the address for datagrams.
-	Packets netip.AddrPort
+	// Packets is the address for datagrams, Link the one for entry instances that
+	// have lost every control replica.
+	Packets, Link netip.AddrPort
 	// Seeds are link addresses of some control replicas.
 	Seeds []netip.AddrPort
 	Wire  Wire
@@ -81,6 +88,8 @@
 	start    time.Time
 	leaving  atomic.Bool
 	upstream upstream
+	hub      feed.Hub
+	server   *http.Server
 	counters *counters
 	trace    trace
 	ctx      context.Context
@@ -109,6 +118,11 @@
 	r.balancer.Zone = cfg.Zone
 	r.balancer.Load.Answered = func(took time.Duration) { r.counters.answerSeconds.Observe(took.Seconds()) }
 	r.ctx, r.cancel = context.WithCancel(ctx)
+	if err := r.feedOthers(); err != nil {
+		r.cancel()
+		conn.Close()
+		return nil, err
+	}
 	r.upstream.init(r)
 	r.stopped.Add(2)
 	go func() {
@@ -123,6 +137,27 @@
 	return r, nil
 }
 
+// feedOthers serves what this instance knows to others.
+func (r *Relay) feedOthers() error {
+	r.hub.All = func() []roster.Server {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.balancer.Servers()
+	}
+	listener, err := net.Listen("tcp", r.cfg.Link.String())
+	if err != nil {
+		return fmt.Errorf("listen for links: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(proto.RelayPath, r.hub.Handler(r.ctx, &r.counters.meter))
+	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go r.server.Serve(listener)
+	return nil
+}
+
+// Address returns the address for datagrams, with the port that was opened.
+func (r *Relay) Address() netip.AddrPort { return r.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // Ready reports whether the instance wants new flows: it can serve them and is
 // not leaving.
 func (r *Relay) Ready() bool {
@@ -149,6 +184,7 @@
 func (r *Relay) Close() {
 	r.cancel()
 	r.conn.Close()
+	r.server.Close()
 	r.stopped.Wait()
 }
 
--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,252 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragepost/core/config"
+	"boragepost/core/flow"
+	"boragepost/core/roster"
+	"boragepost/io/feed"
+	"boragepost/io/links"
+	"boragepost/io/logs"
+	"boragepost/io/proto"
+	"boragepost/io/relay"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+// replica is what a control replica tells, without the replica.
+type replica struct {
+	hub     feed.Hub
+	mu      sync.Mutex
+	servers []roster.Server
+	server  *httptest.Server
+	cut     context.CancelFunc // ends the links
+}
+
+func startReplica() *replica {
+	r := &replica{}
+	r.hub.All = func() []roster.Server {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.servers
+	}
+	r.hub.SetContact(true)
+	ctx, cut := context.WithCancel(context.Background())
+	r.cut = cut
+	mux := http.NewServeMux()
+	mux.Handle(proto.RelayPath, r.hub.Handler(ctx, &links.Meter{}))
+	r.server = httptest.NewServer(mux)
+	DeferCleanup(r.stop)
+	return r
+}
+
+func (r *replica) address() netip.AddrPort {
+	return netip.MustParseAddrPort(r.server.Listener.Addr().String())
+}
+
+// stop ends the replica's links, and no new one succeeds.
+func (r *replica) stop() {
+	r.cut()
+	r.server.Close()
+}
+
+func (r *replica) add(s roster.Server) {
+	r.mu.Lock()
+	r.servers = append(r.servers, s)
+	r.mu.Unlock()
+	r.hub.Push([]roster.Server{s})
+}
+
+// network is a packet format of one byte: the last byte of the caller's port; the
+// destination, cookie and kind follow from a table.
+type network struct {
+	mu      sync.Mutex
+	headers map[byte]flow.CookieHeader
+}
+
+func (n *network) wire() relay.Wire {
+	return relay.Wire{
+		Parse: func(p []byte) (flow.CookieHeader, error) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			h, ok := n.headers[p[0]]
+			if !ok {
+				return h, fmt.Errorf("unknown packet %d", p[0])
+			}
+			return h, nil
+		},
+		Frame: func(dst, p []byte, server uint64, cookie flow.Cookie) []byte {
+			return append(append(dst, p...), byte(server), byte(cookie))
+		},
+		Reset: func(dst []byte, h flow.CookieHeader) ([]byte, netip.AddrPort) {
+			return append(dst, "reset"...), h.Source
+		},
+	}
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+// socket is a UDP socket of a caller or a backend server.
+func socket() (*net.UDPConn, netip.AddrPort) {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func freeTCP() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+var yard = netip.MustParseAddrPort("192.0.2.1:443")
+
+func version(v uint64, addresses ...netip.AddrPort) config.Configuration {
+	c := config.Configuration{Version: v, Services: []string{"yard"}}
+	for _, a := range addresses {
+		c.Routes = append(c.Routes, config.Route{
+			Address: a, Timeout: time.Second, Split: []config.Share{{Service: "yard", Weight: 1}}})
+	}
+	return config.New(c)
+}
+
+var _ = Describe("an entry instance", func() {
+	const patience = "8s"
+	var n *network
+	var caller, backend *net.UDPConn
+	var from, to netip.AddrPort
+	BeforeEach(func() {
+		caller, from = socket()
+		backend, to = socket()
+		n = &network{headers: map[byte]flow.CookieHeader{
+			1: {Source: from, Dest: yard, Start: true},
+			2: {Source: from, Dest: yard, Cookie: 7, Data: true},
+			3: {Source: from, Dest: netip.MustParseAddrPort("192.0.2.9:443"), Start: true},
+		}}
+	})
+	server := func() roster.Server {
+		return roster.Server{ID: 7, Incarnation: 1, Sequence: 1, Service: "yard", Address: to, Slots: 1}
+	}
+	start := func(name string, seeds ...netip.AddrPort) *relay.Relay {
+		r, err := relay.Start(within(time.Minute), relay.Config{
+			Name: name, Packets: netip.MustParseAddrPort("127.0.0.1:0"), Link: freeTCP(), Seeds: seeds, Wire: n.wire(),
+			Grace: 300 * time.Millisecond, Log: logs.Discard()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		return r
+	}
+	send := func(r *relay.Relay, packet byte) {
+		_, err := caller.WriteToUDPAddrPort([]byte{packet}, r.Address())
+		Expect(err).NotTo(HaveOccurred())
+	}
+	receive := func(c *net.UDPConn) string {
+		buf := make([]byte, 100)
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		size, err := c.Read(buf)
+		Expect(err).NotTo(HaveOccurred())
+		return string(buf[:size])
+	}
+
+	It("holds packets until it has learned where they go", func() {
+		replica := startReplica()
+		r := start("a", replica.address())
+		Eventually(replica.hub.Linked, patience).Should(Equal(1))
+		Expect(r.Ready()).To(BeFalse())
+		replica.hub.Configure(version(1, yard))
+		time.Sleep(100 * time.Millisecond)
+		send(r, 2)
+		send(r, 1)
+		time.Sleep(50 * time.Millisecond)
+		replica.add(server())
+		Expect(receive(backend)).To(Equal("\x02\x07\x00"))
+		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
+		Expect(r.Ready()).To(BeTrue())
+	})
+
+	It("resets what no route allows, and ignores what is no packet", func() {
+		replica := startReplica()
+		replica.hub.Configure(version(1, yard))
+		replica.add(server())
+		r := start("a", replica.address())
+		Eventually(r.Ready, patience).Should(BeTrue())
+		send(r, 9)
+		send(r, 3)
+		Expect(receive(caller)).To(Equal("reset"))
+	})
+
+	It("is not ready at once when it leaves, but forwards on", func() {
+		replica := startReplica()
+		replica.hub.Configure(version(1, yard))
+		replica.add(server())
+		r := start("a", replica.address())
+		Eventually(r.Ready, patience).Should(BeTrue())
+		done := make(chan error)
+		go func() { done <- r.Shutdown(context.Background()) }()
+		Eventually(r.Ready, "200ms", "1ms").Should(BeFalse())
+		send(r, 1)
+		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
+		Expect(<-done).To(Succeed())
+	})
+
+	It("takes what is newest from any replica and never goes back", func() {
+		behind, ahead := startReplica(), startReplica()
+		behind.hub.Configure(version(1))
+		ahead.hub.Configure(version(2, yard))
+		ahead.add(server())
+		r := start("a", behind.address(), ahead.address())
+		Eventually(r.Ready, patience).Should(BeTrue())
+		behind.hub.Configure(version(2, yard))
+		ahead.stop()
+		send(r, 1)
+		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
+	})
+
+	It("follows a replica that has contact instead of one that has lost it", func() {
+		lost, other := startReplica(), startReplica()
+		lost.hub.SetContact(false)
+		lost.hub.SetReplicas([]string{other.address().String()})
+		start("a", lost.address())
+		Eventually(other.hub.Linked, patience).Should(Equal(1))
+	})
+
+	It("learns from another entry instance when it has lost every replica", func() {
+		own, others := startReplica(), startReplica()
+		for _, replica := range []*replica{own, others} {
+			replica.hub.Configure(version(1, yard))
+		}
+		b := start("b", others.address())
+		a := start("a", own.address())
+		// b also follows a's replica for a moment, so that a hears of it.
+		introduced := start("c", own.address())
+		Eventually(own.hub.Linked, patience).Should(Equal(2))
+		introduced.SetSeeds([]netip.AddrPort{others.address()})
+		Eventually(others.hub.Linked, patience).Should(Equal(2))
+		own.stop()
+		others.add(server())
+		Eventually(b.Ready, patience).Should(BeTrue())
+		Eventually(a.Ready, patience).Should(BeTrue())
+		send(a, 2)
+		Expect(receive(backend)).To(Equal("\x02\x07\x00"))
+	})
+})
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -31,17 +31,21 @@
 
 type replicaConn = links.Conn[proto.Subscribe, proto.Update]
 
-// upstream keeps links to a few of the control replicas that are known.
+// upstream keeps links to a few of the control replicas that are known and, while
+// none of them is of use, to another entry instance.
 type upstream struct {
-	r        *Relay
-	mu       sync.Mutex
-	seeds    []string
-	known    []string // addresses of replicas, seeds included
-	links    map[string]*replicaLink
-	syncedAt atomic.Int64 // when the first update came; far ahead before it
+	r          *Relay
+	mu         sync.Mutex
+	seeds      []string
+	known      []string // addresses of replicas, seeds included
+	neighbours []string // addresses of entry instances
+	links      map[string]*replicaLink
+	neighbour  *replicaLink // nil while a replica is of use
+	usefulAt   time.Duration
+	syncedAt   atomic.Int64 // when the first update came; far ahead before it
 }
 
-// replicaLink is one followed replica.
+// replicaLink is one followed replica, or the entry instance in its place.
 type replicaLink struct {
 	address   string
 	client    *links.Client[proto.Subscribe, proto.Update]
@@ -118,9 +122,36 @@
 		delete(u.links, worst.address)
 	}
 	for len(u.links) < maxLinks && len(spare) > 0 {
-		u.open(spare[0])
+		u.links[spare[0]] = u.open(spare[0])
 		spare = spare[1:]
 	}
+	u.reviewNeighbour()
+}
+
+// reviewNeighbour follows another entry instance while no replica is of use, and
+// changes it when it is of no use either.
+func (u *upstream) reviewNeighbour() {
+	now := u.r.now()
+	useful := false
+	for _, l := range u.links {
+		useful = useful || l.up && l.contact
+	}
+	if useful {
+		u.usefulAt = now
+	}
+	u.r.hub.SetContact(useful)
+	if u.neighbour != nil && (useful || u.neighbour.isUseless(now)) {
+		u.neighbour.close()
+		u.neighbour = nil
+	}
+	if u.neighbour == nil && now-u.usefulAt >= patience && len(u.neighbours) > 0 {
+		u.neighbour = u.open(u.neighbours[rand.IntN(len(u.neighbours))])
+	}
+}
+
+// isUseless reports whether a link has been down or out of date for too long.
+func (l *replicaLink) isUseless(now time.Duration) bool {
+	return !(l.up && l.contact) && now-l.uselessAt >= patience
 }
 
 // useless returns the link that has been useless for longest, and for longer than
@@ -128,7 +159,7 @@
 func (u *upstream) useless() *replicaLink {
 	var worst *replicaLink
 	for _, l := range u.links {
-		if l.up && l.contact || u.r.now()-l.uselessAt < patience {
+		if !l.isUseless(u.r.now()) {
 			continue
 		}
 		if worst == nil || l.uselessAt < worst.uselessAt {
@@ -138,11 +169,10 @@
 	return worst
 }
 
-func (u *upstream) open(address string) {
+func (u *upstream) open(address string) *replicaLink {
 	l := &replicaLink{address: address, uselessAt: u.r.now()}
 	ctx, cancel := context.WithCancel(u.r.ctx)
 	l.close = cancel
-	u.links[address] = l
 	l.client = links.NewClient(ctx, address, proto.RelayPath, links.Options[proto.Subscribe, proto.Update]{
 		Heartbeat: proto.LinkHeartbeat,
 		Meter:     &u.r.counters.meter,
@@ -150,6 +180,7 @@
 		Closed:    func() { u.closed(l) },
 		Received:  func(m proto.Update) { u.received(l, m) },
 	})
+	return l
 }
 
 func (u *upstream) opened(l *replicaLink, c *replicaConn) {
@@ -157,7 +188,8 @@
 	held, _ := u.r.balancer.Config()
 	u.r.mu.Unlock()
 	l.config = held
-	c.Send(proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Version: held.Version})
+	c.Send(proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Version: held.Version,
+		Address: u.r.cfg.Link.String()})
 	u.r.log.WithField("replica", l.address).WithField("version", held.Version).Info("replicaFound")
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -185,6 +217,10 @@
 	}
 	if len(m.Replicas) > 0 {
 		u.known = union(u.seeds, m.Replicas)
+		u.r.hub.SetReplicas(m.Replicas)
+	}
+	if len(m.Neighbours) > 0 {
+		u.neighbours = m.Neighbours
 	}
 }
 
@@ -197,7 +233,9 @@
 		r.configure(l, m)
 	}
 	if len(m.Servers) > 0 {
-		r.trace.learned(l.address, r.balancer.Learn(now, m.Servers))
+		changed := r.balancer.Learn(now, m.Servers)
+		r.trace.learned(l.address, changed)
+		r.hub.Push(changed)
 	}
 	if _, ok := r.balancer.Config(); ok && int64(now) < r.upstream.syncedAt.Load() {
 		r.upstream.syncedAt.Store(int64(now))
@@ -216,6 +254,7 @@
 	l.config = next
 	former, _ := r.balancer.Config()
 	if r.balancer.Configure(next) {
+		r.hub.Configure(next)
 		log.WithField("former", former.Version).WithField("routes", len(next.Routes)).Info("configurationInForce")
 	}
 }
