Feed entry instances from a checkpoint before there is a leader

Cause: after a final fault the entry instances are linked 0.2 to 0.3 s before the replicas have elected a leader and know what is committed, and wait for it.

Change: the copy of the roster on disk also holds the configuration that was in force, at most a second old. A replica that starts feeds it to entry instances at once. It is nobody's proof: reads and acknowledgements follow from the log alone, and entry instances go forward when the log's configuration comes.

--- a/io/demo/docs_test.go
+++ b/io/demo/docs_test.go
@@ -117,7 +117,8 @@
 }
 
 func relayMetrics(ctx context.Context, g *WithT) http.Handler {
-	r, err := relay.Start(ctx, relay.Config{Packets: netip.MustParseAddrPort("127.0.0.1:0"), Log: logs.Discard()})
+	r, err := relay.Start(ctx, relay.Config{
+		Packets: netip.MustParseAddrPort("127.0.0.1:0"), Link: netip.MustParseAddrPort("127.0.0.1:0"), Log: logs.Discard()})
 	g.Expect(err).NotTo(HaveOccurred())
 	context.AfterFunc(ctx, r.Close)
 	return r.Metrics()
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -70,10 +70,13 @@
 	return len(h.subscribers)
 }
 
-// Configure tells the subscribers of a configuration.
+// Configure tells the subscribers of a configuration, unless a newer one is known.
 func (h *Hub) Configure(c config.Configuration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if c.Version <= h.config.Version {
+		return
+	}
 	h.config = c
 	for s := range h.subscribers {
 		if s.sent.Version >= c.Version {
--- a/io/plane/checkpoint.go
+++ b/io/plane/checkpoint.go
@@ -2,63 +2,64 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"boragepost/core/roster"
+	"boragepost/io/store"
 )
 
-// checkpointInterval bounds how often the roster is written to disk: at most one
-// sync a second beside those of the log.
+// checkpointInterval bounds how often the checkpoint is written: at most one sync a
+// second beside those of the log.
 const checkpointInterval = time.Second
 
-// restore takes in the backend servers that were known before a restart. They
-// keep the traffic spread until they have announced themselves anew; those that
-// do not are marked as silent like any other.
+// restore takes in what was known before a restart, so that entry instances that
+// start anew can serve before the replicas have elected a leader. Backend servers
+// that do not announce themselves again are marked as silent like any other. The
+// configuration was in force once and is only fed to entry instances; what this
+// replica holds follows from the log alone.
 func (g *registry) restore() {
-	servers, err := g.r.store.Roster()
+	saved, err := g.r.store.Checkpoint()
 	if err != nil {
-		// The roster is soft state, so the replica starts without it.
-		g.r.log.WithError(err).Warn("rosterNotRestored")
+		// A checkpoint is soft state, so the replica starts without it.
+		g.r.log.WithError(err).Warn("checkpointNotRestored")
 		return
 	}
-	for _, s := range servers {
+	for _, s := range saved.Servers {
 		g.roster.Merge(g.r.now(), s.WithSilence(false))
 	}
-	g.r.log.WithField("servers", len(servers)).Info("rosterRestored")
+	g.hub.Configure(saved.Configuration)
+	g.r.log.WithField("servers", len(saved.Servers)).WithField("version", saved.Configuration.Version).
+		Info("checkpointRestored")
 }
 
-// checkpoint writes the roster to disk whenever it has changed, until ctx ends.
+// checkpoint writes what is known to disk whenever it has changed, until ctx ends.
 func (g *registry) checkpoint(ctx context.Context) {
 	ticker := time.NewTicker(checkpointInterval)
 	defer ticker.Stop()
-	written := g.digest()
+	var written mark
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		servers, digest := g.copy()
-		if digest == written {
+		c, now := g.known()
+		if now == written {
 			continue
 		}
-		if err := g.r.store.SaveRoster(servers); err != nil {
-			g.r.log.WithError(err).Warn("rosterNotSaved")
+		if err := g.r.store.SaveCheckpoint(c); err != nil {
+			g.r.log.WithError(err).Warn("checkpointNotSaved")
 			continue
 		}
-		written = digest
+		written = now
 	}
 }
 
-func (g *registry) digest() uint64 {
-	_, digest := g.copy()
-	return digest
-}
+// mark tells one state of what is known from another.
+type mark struct{ digest, version uint64 }
 
-// copy returns the records and their digest.
-func (g *registry) copy() ([]roster.Server, uint64) {
+func (g *registry) known() (store.Checkpoint, mark) {
+	c := store.Checkpoint{Servers: g.all(), Configuration: g.r.Current()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.Collect(g.roster.All()), g.roster.Digest()
+	return c, mark{digest: g.roster.Digest(), version: c.Configuration.Version}
 }
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -318,6 +318,29 @@
 		Expect(s.start(a, false).Servers()).To(HaveLen(1))
 	})
 
+	It("feed entry instances that start anew before there is a leader", func() {
+		s := newSite(3)
+		offer(s.any(), 4)
+		time.Sleep(1500 * time.Millisecond) // the checkpoint is written once a second
+		for _, a := range s.seeds {
+			s.stop(a)
+		}
+		alone := s.start(s.seeds[0], false)
+		updates := make(chan proto.Update, 100)
+		links.NewClient(within(time.Minute), s.seeds[0].String(), proto.RelayPath, links.Options[proto.Subscribe, proto.Update]{
+			Heartbeat: proto.LinkHeartbeat,
+			Opened:    func(c *links.Conn[proto.Subscribe, proto.Update]) { c.Send(proto.Subscribe{Instance: "e"}) },
+			Received:  func(m proto.Update) { updates <- m },
+		})
+		var first proto.Update
+		Eventually(updates, patience).Should(Receive(&first))
+		Expect(first.Config).NotTo(BeNil())
+		Expect(first.Config.To).To(Equal(uint64(4)))
+		Expect(*first.Contact).To(BeFalse())
+		_, err := alone.Newest(within(300 * time.Millisecond))
+		Expect(err).To(MatchError(plane.ErrNoQuorum), "a checkpoint proves nothing")
+	})
+
 	It("feed entry instances with the whole first and then with changes", func() {
 		s := newSite(3)
 		offer(s.any(), 1)
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -215,10 +215,11 @@
 	}
 }
 
-// all returns every record, for a replica whose link has just opened.
+// all returns every record.
 func (g *registry) all() []roster.Server {
-	servers, _ := g.copy()
-	return servers
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(g.roster.All())
 }
 
 // setVoters sets how many replicas vote, a majority of which has to know that a
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -1,8 +1,8 @@
 // Package store keeps a control replica's log and snapshot on disk.
 //
 // The data folder holds a few files. The file identity says which replica it is,
-// where the set of replicas is agreed. The file roster holds soft state that
-// shortens a restart and may be outdated. The file log is a sequence of records, each
+// where the set of replicas is agreed. The file checkpoint holds soft state
+// that shortens a restart and may be outdated. The file log is a sequence of records, each
 // with a checksum over its header and one over its contents; one Save is one
 // record and is synced before it returns. The file snapshot holds the latest
 // snapshot and replaces the log before it.
@@ -29,16 +29,17 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"boragepost/core/config"
 	"boragepost/core/quorum"
 	"boragepost/core/roster"
 )
 
 const (
-	logName      = "log"
-	snapshotName = "snapshot"
-	lockName     = "lock"
-	identityName = "identity"
-	rosterName   = "roster"
+	logName        = "log"
+	snapshotName   = "snapshot"
+	lockName       = "lock"
+	identityName   = "identity"
+	checkpointName = "checkpoint"
 
 	headerBytes = 16 // magic, length, contents checksum, header checksum
 	magic       = 0x62706c31
@@ -168,26 +169,34 @@
 	return nil
 }
 
-// SaveRoster makes a copy of the backend servers durable. Unlike the other methods
-// it may be called from a goroutine of its own.
-func (s *Store) SaveRoster(servers []roster.Server) error {
-	data, err := frame(servers)
+// Checkpoint is soft state that shortens a restart. It may be outdated, and is
+// never a proof of anything.
+type Checkpoint struct {
+	Servers []roster.Server `cbor:"1,keyasint,omitempty"`
+	// Configuration was in force once.
+	Configuration config.Configuration `cbor:"2,keyasint"`
+}
+
+// SaveCheckpoint makes a checkpoint durable. Unlike the other methods it may be
+// called from a goroutine of its own.
+func (s *Store) SaveCheckpoint(c Checkpoint) error {
+	data, err := frame(c)
 	if err != nil {
 		return err
 	}
-	if err := s.replace(rosterName, data); err != nil {
-		return fmt.Errorf("write roster: %w", err)
+	if err := s.replace(checkpointName, data); err != nil {
+		return fmt.Errorf("write checkpoint: %w", err)
 	}
 	return nil
 }
 
-// Roster returns the backend servers that were stored last.
-func (s *Store) Roster() ([]roster.Server, error) {
-	var servers []roster.Server
-	if _, err := s.readFramed(rosterName, &servers); err != nil {
-		return nil, fmt.Errorf("read roster: %w", err)
+// Checkpoint returns the checkpoint that was stored last, or an empty one.
+func (s *Store) Checkpoint() (Checkpoint, error) {
+	var c Checkpoint
+	if _, err := s.readFramed(checkpointName, &c); err != nil {
+		return Checkpoint{}, fmt.Errorf("read checkpoint: %w", err)
 	}
-	return servers, nil
+	return c, nil
 }
 
 // Close closes the data folder.
