--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -84,6 +84,9 @@
 	// Listen is the address for links; replicas and entry instances reach this
 	// replica there, so it must not be a wildcard.
 	Listen netip.AddrPort
+	// Bind is the address to listen at, if something stands between; zero is
+	// Listen itself.
+	Bind netip.AddrPort
 	// Seeds are link addresses of some replicas.
 	Seeds []netip.AddrPort
 	// Found makes the replica a founder if its data folder is empty and it is
@@ -146,7 +149,11 @@
 		st.Close()
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", cfg.Listen.String())
+	bind := cfg.Listen
+	if cfg.Bind.IsValid() {
+		bind = cfg.Bind
+	}
+	listener, err := net.Listen("tcp", bind.String())
 	if err != nil {
 		r.cancel()
 		st.Close()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -72,6 +72,9 @@
 	// Packets is the address for datagrams, Link the one for entry instances that
 	// have lost every control replica.
 	Packets, Link netip.AddrPort
+	// Bind is the address to listen at for links, if something stands between;
+	// zero is Link itself.
+	Bind netip.AddrPort
 	// Seeds are link addresses of some control replicas.
 	Seeds []netip.AddrPort
 	Wire  Wire
@@ -144,7 +147,11 @@
 		defer r.mu.Unlock()
 		return r.balancer.Servers()
 	}
-	listener, err := net.Listen("tcp", r.cfg.Link.String())
+	bind := r.cfg.Link
+	if r.cfg.Bind.IsValid() {
+		bind = r.cfg.Bind
+	}
+	listener, err := net.Listen("tcp", bind.String())
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
