Hold packets of flows whose backend server is not yet known here

Cause: a flow may be opened through an instance that has learned of a new backend server a moment before another one, to which the fabric then moves the flow.

Change: packets with an unknown cookie are always held, up to 512 at once for 0.8 s. New flows are still refused at once by an instance that has long learned what there is. A socket whose reads fail is read at most 100 times a second.

The test fails without the change.

--- a/io/relay/packets.go
+++ b/io/relay/packets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"boragepost/core/flow"
+	"boragepost/io/timer"
 )
 
 const (
@@ -16,6 +17,8 @@
 	// up to 600 ms after the first and give up after 1.4 s.
 	holdTimeout = 800 * time.Millisecond
 	maxHeld     = 512
+	// receivePause keeps a socket that fails from taking the whole processor.
+	receivePause = 10 * time.Millisecond
 )
 
 // heldPacket waits until the instance has learned where it goes.
@@ -35,6 +38,7 @@
 		}
 		if err != nil {
 			r.counters.receiveErrors.Inc()
+			timer.Sleep(r.ctx, receivePause)
 			continue
 		}
 		h, err := r.cfg.Wire.Parse(buf[:n])
@@ -55,7 +59,10 @@
 		r.act(h, packet, v)
 		return
 	}
-	if !r.learning(now) || len(r.held) >= maxHeld {
+	// An established flow may be known to an instance that has learned of its
+	// backend server a moment before this one.
+	mayLearn := !h.Start || r.learning(now)
+	if !mayLearn || len(r.held) >= maxHeld {
 		r.giveUp(h, packet, v)
 		return
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -184,6 +184,19 @@
 		Expect(r.Ready()).To(BeTrue())
 	})
 
+	It("holds a packet of a flow whose backend server another instance knew first", func() {
+		replica := startReplica()
+		replica.hub.Configure(version(1, yard))
+		replica.add(roster.Server{ID: 8, Incarnation: 1, Service: "yard", Address: netip.MustParseAddrPort("127.0.0.1:9")})
+		r := start("a", replica.address())
+		Eventually(r.Ready, patience).Should(BeTrue())
+		time.Sleep(2500 * time.Millisecond) // it has long learned what there is
+		send(r, 2)
+		time.Sleep(50 * time.Millisecond)
+		replica.add(server())
+		Expect(receive(backend)).To(Equal("\x02\x07\x00"))
+	})
+
 	It("resets what no route allows, and ignores what is no packet", func() {
 		replica := startReplica()
 		replica.hub.Configure(version(1, yard))
