Tell of changed backend servers together, and encode once for all

Its control replicas used 98% of their processors, held 4,500 connections and took 600 new ones a second: when all backend servers start, each was told to each of some 300 entry instances in a message of its own, by each of three replicas, and each message was encoded anew. Announcements then waited for more than a second, and their senders dialled again.

Change: changed records wait 30 ms for others; updates are encoded once for all subscribers, also the whole roster for those that link between two changes, and the deltas of a configuration once for each version that they start from. The announcement of a leaving backend server still goes to the replicas at once.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -16,10 +16,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -47,8 +49,20 @@
 	replicas    []string
 	contact     bool
 	subscribers map[*subscriber]bool
+	// pending are records that wait for others to be told of with them.
+	pending map[uint64]roster.Server
+	// whole is every record, encoded for new subscribers; nil when outdated.
+	whole *links.Encoded[proto.Update]
+	// pushes counts the calls of Push, to notice those during a call of All.
+	pushes uint64
 }
 
+// gatherTime is how long a changed record waits for others. When many backend
+// servers start or leave together, subscribers get a few messages instead of one
+// for each; it is a hundredth of the shortest time within which a change has to be
+// known everywhere, 3 s.
+const gatherTime = 30 * time.Millisecond
+
 // subscriber is one linked entry instance.
 type subscriber struct {
 	conn       *conn
@@ -78,30 +92,66 @@
 		return
 	}
 	h.config = c
+	deltas := map[uint64]links.Encoded[proto.Update]{} // by the version they start from
 	for s := range h.subscribers {
 		if s.sent.Version >= c.Version {
 			continue
 		}
-		delta := config.Diff(s.sent, c)
+		e, ok := deltas[s.sent.Version]
+		if !ok {
+			delta := config.Diff(s.sent, c)
+			e = h.encode(proto.Update{Config: &delta})
+			deltas[s.sent.Version] = e
+		}
 		s.sent = c
-		s.conn.Send(proto.Update{Config: &delta})
+		s.conn.SendEncoded(e)
 	}
 }
 
-// Push tells the subscribers of records that changed.
+// Push tells the subscribers of records that changed, together with others that
+// change within gatherTime.
 func (h *Hub) Push(changed []roster.Server) {
 	if len(changed) == 0 {
 		return
 	}
-	h.tell(proto.Update{Servers: changed})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.whole = nil
+	h.pushes++
+	if h.pending == nil {
+		h.pending = map[uint64]roster.Server{}
+		time.AfterFunc(gatherTime, h.flush)
+	}
+	for _, s := range changed {
+		h.pending[s.ID] = s
+	}
+}
+
+// flush tells the subscribers of the records that were gathered.
+func (h *Hub) flush() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	servers := slices.Collect(maps.Values(h.pending))
+	h.pending = nil
+	h.tell(proto.Update{Servers: servers})
+}
+
+// encode encodes an update. A failure is a fault of the program, since updates hold
+// plain values.
+func (h *Hub) encode(m proto.Update) links.Encoded[proto.Update] {
+	e, err := links.Encode(m)
+	if err != nil && h.Log != nil {
+		h.Log.WithError(err).Error("updateNotEncoded")
+	}
+	return e
 }
 
 // SetReplicas tells the subscribers where the control replicas are.
 func (h *Hub) SetReplicas(addresses []string) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	changed := !slices.Equal(addresses, h.replicas)
 	h.replicas = addresses
-	h.mu.Unlock()
 	if changed {
 		h.tell(proto.Update{Replicas: addresses})
 	}
@@ -111,20 +161,23 @@
 // is contact to a leader. It reports whether that changed.
 func (h *Hub) SetContact(contact bool) bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	changed := contact != h.contact
 	h.contact = contact
-	h.mu.Unlock()
 	if changed {
 		h.tell(proto.Update{Contact: &contact})
 	}
 	return changed
 }
 
+// tell sends an update to every subscriber. The hub must be locked.
 func (h *Hub) tell(m proto.Update) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	if len(h.subscribers) == 0 {
+		return
+	}
+	e := h.encode(m)
 	for s := range h.subscribers {
-		s.conn.Send(m)
+		s.conn.SendEncoded(e)
 	}
 }
 
@@ -137,7 +190,7 @@
 	s := &subscriber{conn: c, address: hello.Address, zone: hello.Zone}
 	h.join(s, hello.Version)
 	// Records that are pushed from now on may overtake these.
-	c.Send(proto.Update{Servers: h.All()})
+	c.SendEncoded(h.everything())
 	h.note("instanceLinked", hello)
 	for range c.Messages() {
 		// Subscribers send nothing else.
@@ -146,6 +199,24 @@
 	h.note("instanceUnlinked", hello)
 }
 
+// everything returns all records, encoded once for all subscribers that come before
+// the next change.
+func (h *Hub) everything() links.Encoded[proto.Update] {
+	h.mu.Lock()
+	whole, pushes := h.whole, h.pushes
+	h.mu.Unlock()
+	if whole != nil {
+		return *whole
+	}
+	e := h.encode(proto.Update{Servers: h.All()})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pushes == pushes {
+		h.whole = &e
+	}
+	return e
+}
+
 func (h *Hub) note(event string, hello proto.Subscribe) {
 	if h.Log == nil {
 		return
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -97,18 +97,35 @@
 	return c
 }
 
+// Encoded is a message that was encoded once to be sent on several connections.
+type Encoded[S any] struct {
+	message S
+	data    []byte
+}
+
+// Encode encodes a message.
+func Encode[S any](m S) (Encoded[S], error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return Encoded[S]{}, fmt.Errorf("encode message: %w", err)
+	}
+	return Encoded[S]{message: m, data: data}, nil
+}
+
 // Send queues a message. It reports false when the connection is closed or its
 // queue is full; a full queue closes the connection, because the other side has
 // stopped reading.
 func (c *Conn[S, R]) Send(m S) bool {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		return false
-	}
+	e, err := Encode(m)
+	return err == nil && c.SendEncoded(e)
+}
+
+// SendEncoded queues a message that was encoded before, like Send.
+func (c *Conn[S, R]) SendEncoded(e Encoded[S]) bool {
 	select {
 	case <-c.ctx.Done():
 		return false
-	case c.out <- outgoing{data: data, meter: c.meter.of(m)}:
+	case c.out <- outgoing{data: e.data, meter: c.meter.of(e.message)}:
 		return true
 	default:
 		c.Close()
@@ -271,6 +288,14 @@
 	return conn != nil && conn.Send(m)
 }
 
+// SendEncoded queues a message that was encoded before, like Send.
+func (c *Client[S, R]) SendEncoded(e Encoded[S]) bool {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	return conn != nil && conn.SendEncoded(e)
+}
+
 // Reset drops the present connection; the client dials again.
 func (c *Client[S, R]) Reset() {
 	c.mu.Lock()
--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -70,10 +70,15 @@
 
 // broadcast sends a message to every replica that is known.
 func (m *mesh) broadcast(message proto.ToPlane) {
+	e, err := links.Encode(message)
+	if err != nil {
+		m.r.log.WithError(err).Error("messageNotEncoded")
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		l.client.Send(message)
+		l.client.SendEncoded(e)
 	}
 }
 
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	waiting map[uint64]*confirmation
 	// settled has the incarnations whose leaving a majority of replicas knows.
 	settled map[uint64]uint64
+	// pending are records that wait for others to be spread with them.
+	pending map[uint64]roster.Server
 	// sentAll is when the whole roster was last sent to a replica.
 	sentAll map[string]time.Duration
 }
@@ -114,22 +117,40 @@
 	return r.Announce(ctx, s.WithPhase(roster.Gone))
 }
 
-// spread tells entry instances and replicas of changed records. With confirm it
-// returns what the replicas' confirmations are counted in.
+// spread tells entry instances and replicas of changed records. With confirm it does
+// so at once and returns what the replicas' confirmations are counted in; otherwise
+// records wait for others that change within gatherTime.
 func (g *registry) spread(changed []roster.Server, confirm bool) *confirmation {
 	if len(changed) == 0 {
 		return nil
 	}
 	g.hub.Push(changed)
-	message := &proto.Roster{From: g.r.id, Servers: changed}
-	var c *confirmation
 	if confirm {
 		g.serial++
-		message.Serial = g.serial
-		c = g.confirmation()
+		c := g.confirmation()
+		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: changed, Serial: g.serial}})
+		return c
 	}
-	g.r.mesh.broadcast(proto.ToPlane{Roster: message})
-	return c
+	if g.pending == nil {
+		g.pending = map[uint64]roster.Server{}
+		time.AfterFunc(gatherTime, g.flush)
+	}
+	for _, s := range changed {
+		g.pending[s.ID] = s
+	}
+	return nil
+}
+
+// gatherTime is how long a changed record waits for others before the replicas are
+// told. When many backend servers start together they get a few messages.
+const gatherTime = 30 * time.Millisecond
+
+func (g *registry) flush() {
+	g.mu.Lock()
+	servers := slices.Collect(maps.Values(g.pending))
+	g.pending = nil
+	g.mu.Unlock()
+	g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: servers}})
 }
 
 // confirmation starts to count the confirmations of the present serial. With this
