--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -287,35 +287,6 @@
 	}
 }
 
-// Read asks for proof that this node still leads. It returns the round whose
-// confirmation is the proof, and false when the node does not lead or has not
-// yet committed an entry of its term.
-func (n *Node) Read() (round uint64, ok bool) {
-	if n.role != Leader || n.log.termAt(n.log.commit) != n.hard.Term {
-		return 0, false
-	}
-	n.asked = true
-	return n.round + 1, true
-}
-
-// Confirmed returns the latest round that a quorum has acknowledged in this
-// term. What was applied when it was sent was the newest then.
-func (n *Node) Confirmed() uint64 {
-	if n.role != Leader {
-		return 0
-	}
-	var rounds []uint64
-	for _, id := range n.log.peers {
-		if id == n.cfg.ID {
-			rounds = append(rounds, n.round)
-			continue
-		}
-		rounds = append(rounds, n.progress[id].round)
-	}
-	slices.Sort(rounds)
-	return rounds[len(rounds)-n.quorum()]
-}
-
 // Compact drops the log up to an applied index, for which data is the
 // snapshot. It returns the snapshot to make durable.
 func (n *Node) Compact(index uint64, data []byte) Snapshot {
@@ -330,42 +301,6 @@
 // Hard returns the state to store with a snapshot.
 func (n *Node) Hard() Hard { return n.hard }
 
-// Output is what the caller has to carry out, in the order of the fields.
-type Output struct {
-	Hard      *Hard     // to make durable, if set
-	Snapshot  *Snapshot // to make durable and to apply, if set
-	Append    []Entry   // to make durable, replacing any entry at or after the first
-	Messages  []Message
-	Committed []Entry // to apply
-}
-
-// Take returns the work that has come up since the last call.
-func (n *Node) Take() Output {
-	var out Output
-	if n.asked {
-		n.asked = false
-		n.round++
-		n.broadcast()
-	}
-	if n.hard != n.savedHard {
-		hard := n.hard
-		out.Hard = &hard
-		n.savedHard = n.hard
-	}
-	if n.install != nil {
-		out.Snapshot = n.install
-		n.committed = n.install.Index
-		n.install = nil
-	}
-	out.Append = n.log.takeUnsaved()
-	out.Messages, n.messages = n.messages, nil
-	if n.log.commit > n.committed {
-		out.Committed = slices.Clone(n.log.slice(n.committed+1, n.log.commit))
-		n.committed = n.log.commit
-	}
-	return out
-}
-
 func (n *Node) quorum() int { return len(n.log.peers)/2 + 1 }
 
 func (n *Node) resetTimeout() {
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -29,9 +29,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"boragepost/core/config"
 	"boragepost/core/quorum"
-	"boragepost/core/roster"
 )
 
 const (
@@ -139,66 +137,6 @@
 	return s.syncDir(s.dir)
 }
 
-// Identity says which replica a data folder belongs to. It is written once, before
-// the replica promises anything.
-type Identity struct {
-	ID string `cbor:"1,keyasint"`
-	// Founders are the first voters, if the replica is one of them.
-	Founders []string `cbor:"2,keyasint,omitempty"`
-}
-
-// Identity returns the stored identity, and false when there is none.
-func (s *Store) Identity() (Identity, bool, error) {
-	var id Identity
-	found, err := s.readFramed(identityName, &id)
-	if err != nil {
-		return Identity{}, false, fmt.Errorf("read identity: %w", err)
-	}
-	return id, found, nil
-}
-
-// SaveIdentity makes the identity durable.
-func (s *Store) SaveIdentity(id Identity) error {
-	data, err := frame(id)
-	if err != nil {
-		return err
-	}
-	if err := s.replace(identityName, data); err != nil {
-		return fmt.Errorf("write identity: %w", err)
-	}
-	return nil
-}
-
-// Checkpoint is soft state that shortens a restart. It may be outdated, and is
-// never a proof of anything.
-type Checkpoint struct {
-	Servers []roster.Server `cbor:"1,keyasint,omitempty"`
-	// Configuration was in force once.
-	Configuration config.Configuration `cbor:"2,keyasint"`
-}
-
-// SaveCheckpoint makes a checkpoint durable. Unlike the other methods it may be
-// called from a goroutine of its own.
-func (s *Store) SaveCheckpoint(c Checkpoint) error {
-	data, err := frame(c)
-	if err != nil {
-		return err
-	}
-	if err := s.replace(checkpointName, data); err != nil {
-		return fmt.Errorf("write checkpoint: %w", err)
-	}
-	return nil
-}
-
-// Checkpoint returns the checkpoint that was stored last, or an empty one.
-func (s *Store) Checkpoint() (Checkpoint, error) {
-	var c Checkpoint
-	if _, err := s.readFramed(checkpointName, &c); err != nil {
-		return Checkpoint{}, fmt.Errorf("read checkpoint: %w", err)
-	}
-	return c, nil
-}
-
 // Close closes the data folder.
 func (s *Store) Close() error {
 	err := s.log.Close()
