--- /dev/null
+++ b/io/metric/metric.go
@@ -0,0 +1,77 @@
+// Package metric builds the metrics of one role: all share the role's name as their
+// prefix, and one registry.
+//
+// # Usage
+//
+//	set := metric.New("relay")
+//	opened := set.Counter("flows_placed_total", "Opening packets given to a backend server.")
+//	http.Handle("/metrics", set.Handler())
+package metric
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Set is the metrics of one role.
+type Set struct {
+	role     string
+	registry *prometheus.Registry
+}
+
+// New returns a set that holds the metrics of the Go runtime.
+func New(role string) *Set {
+	s := &Set{role: role, registry: prometheus.NewRegistry()}
+	s.registry.MustRegister(collectors.NewGoCollector())
+	return s
+}
+
+// Handler serves the metrics as text.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Counter adds a counter.
+func (s *Set) Counter(name, help string) prometheus.Counter {
+	return register(s, prometheus.NewCounter(prometheus.CounterOpts(s.options(name, help))))
+}
+
+// Counters adds a counter for each value of a label.
+func (s *Set) Counters(name, help, label string) *prometheus.CounterVec {
+	return register(s, prometheus.NewCounterVec(prometheus.CounterOpts(s.options(name, help)), []string{label}))
+}
+
+// Gauge adds a gauge that is read when it is asked for.
+func (s *Set) Gauge(name, help string, value func() float64) {
+	register(s, prometheus.NewGaugeFunc(prometheus.GaugeOpts(s.options(name, help)), value))
+}
+
+// Flag adds a gauge that is 1 while value returns true.
+func (s *Set) Flag(name, help string, value func() bool) {
+	s.Gauge(name, help, func() float64 {
+		if value() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Histogram adds a histogram of seconds.
+func (s *Set) Histogram(name, help string, buckets []float64) prometheus.Histogram {
+	return register(s, prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Subsystem: s.role, Name: name, Help: help, Buckets: buckets}))
+}
+
+const namespace = "boragepost"
+
+func (s *Set) options(name, help string) prometheus.Opts {
+	return prometheus.Opts{Namespace: namespace, Subsystem: s.role, Name: name, Help: help}
+}
+
+func register[C prometheus.Collector](s *Set, c C) C {
+	s.registry.MustRegister(c)
+	return c
+}
