--- a/core/config/config.go
+++ b/core/config/config.go
@@ -52,9 +52,7 @@
 
 // Equal reports whether two routes say the same.
 func (r Route) Equal(o Route) bool {
-	split := slices.Equal(r.Split, o.Split)
-	r.Split, o.Split = nil, nil
-	return split && r.Name == o.Name && r.Address == o.Address && r.Kind == o.Kind &&
+	return slices.Equal(r.Split, o.Split) && r.Name == o.Name && r.Address == o.Address && r.Kind == o.Kind &&
 		r.Timeout == o.Timeout && r.Objective == o.Objective && r.Priority == o.Priority
 }
 
