Let a replica of a fixed set that lost its disk catch up again

A refusal below what a peer had acknowledged was taken for an old one, but a replica of a fixed set keeps its identifier when it loses its disk and really lacks what it had acknowledged. So the leader never stepped back.

Ruled out: load; the new test without processes fails on its first history.

Change: a peer that says that it recovers has acknowledged no more than it holds.

The same run failed in io/plane: an announcement came to a replica that had not yet heard from the leader, 0.27 s after the start, and was rightly not confirmed. The tests now wait until every replica is in contact before they begin.

--- a/core/quorum/history_test.go
+++ b/core/quorum/history_test.go
@@ -267,3 +267,27 @@
 		c.run(20)
 	})
 }
+
+// TestWipedReplicaOfAFixedSetCatchesUp lets a follower lose its disk while the leader
+// that it had acknowledged everything to goes on leading.
+func TestWipedReplicaOfAFixedSetCatchesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		c.run(40)
+		for _, r := range c.replicas {
+			c.propose(r)
+		}
+		c.run(20)
+		for _, r := range c.replicas {
+			if r.node.Role() == quorum.Leader {
+				continue
+			}
+			r.disk = quorum.Saved{}
+			c.boot(r)
+			c.run(60)
+			if r.node.Recovering() || r.node.Commit() != c.find(r.node.Leader()).node.Commit() {
+				t.Fatalf("%s recovers=%v and holds %d", r.id, r.node.Recovering(), r.node.Commit())
+			}
+		}
+	})
+}
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -121,6 +121,10 @@
 // onRefusal goes back in the log of a peer that lacks what was sent before the
 // entries. Refusals of what was sent before the last step back say nothing new.
 func (n *Node) onRefusal(m Message, p *progress) {
+	if m.Learner {
+		// A replica of a fixed set that has lost its disk keeps its identifier.
+		p.match = min(p.match, m.Index)
+	}
 	stale := m.Before <= p.match
 	if p.probing {
 		stale = m.Before != p.next-1
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -54,6 +54,10 @@
 			r.Close()
 		}
 	})
+	for _, r := range s.replicas {
+		// Until it has heard from a leader a replica confirms nothing.
+		Eventually(r.InContact, patience).Should(BeTrue())
+	}
 	return s
 }
 
