Count refused announcements and configurations

Cause: invalid calls were logged but stood in no counter, and a body that could not be read (cut short, too large) was not even logged. An operator saw neither without reading all lines.

Ruled out: a counter in the adapter itself. The outcomes of a call belong beside confirmed and unconfirmed ones, in the replica's metrics.

--- a/io/plane/counters.go
+++ b/io/plane/counters.go
@@ -44,14 +44,28 @@
 	return c
 }
 
-// outcome is the label of a call's outcome.
+// The outcomes of calls, as labels.
+const (
+	confirmed   = "confirmed"
+	unconfirmed = "unconfirmed"
+	refused     = "refused" // the call was invalid, and was not carried out
+)
+
+// outcome is the label of a call that was carried out.
 func outcome(err error) string {
 	if err != nil {
-		return "unconfirmed"
+		return unconfirmed
 	}
-	return "confirmed"
+	return confirmed
 }
 
+// NoteRefusedOffer counts a configuration that was refused because it is invalid.
+func (r *Replica) NoteRefusedOffer() { r.counters.offers.WithLabelValues(refused).Inc() }
+
+// NoteRefusedAnnouncement counts an announcement that was refused because it names no
+// backend server that can be used.
+func (r *Replica) NoteRefusedAnnouncement() { r.counters.announcements.WithLabelValues(refused).Inc() }
+
 func (c *counters) addGauges(r *Replica) {
 	looped := func(f func() float64) func() float64 {
 		return func() (v float64) {
