Do not look for the voters at each entry of the log

Change: the search runs only when an entry names voters or replaces another one; Node.TailBytes serves the loop; a tick asks once whether it has contact.

Ruled out: keeping the index of the last change; a replaced suffix makes it invalid again and the search is rare now.

Before and after: the same histories pass (core/quorum, io/plane).

--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -74,12 +74,15 @@
 
 // append adds an entry and drops any entry at or after its index.
 func (l *raftLog) append(e Entry) {
+	replaces := e.Index <= l.last()
 	l.entries = append(l.entries[:e.Index-l.snapshot.Index-1:e.Index-l.snapshot.Index-1], e)
 	if l.unsaved == 0 || e.Index < l.unsaved {
 		l.unsaved = e.Index
 	}
-	// An entry may also have replaced one that named voters.
-	l.peers = l.peersAt(l.last())
+	if replaces || len(e.Peers) > 0 {
+		// A replaced entry may have named voters too.
+		l.peers = l.peersAt(l.last())
+	}
 }
 
 // merge adds the entries that the log lacks, and drops a conflicting suffix.
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -298,6 +298,9 @@
 // Tail returns the entries after the latest snapshot.
 func (n *Node) Tail() []Entry { return n.log.entries }
 
+// TailBytes returns the size of their data.
+func (n *Node) TailBytes() int { return bytesOf(n.log.entries) }
+
 // Hard returns the state to store with a snapshot.
 func (n *Node) Hard() Hard { return n.hard }
 
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -58,15 +58,15 @@
 
 func (r *Replica) tick() {
 	now := r.now()
-	if r.node.HeardRecently() {
+	contact := r.node.HeardRecently()
+	if contact {
 		r.contact.Store(int64(now))
 	}
-	contact := r.node.HeardRecently()
 	if r.registry.hub.SetContact(contact) {
 		r.log.WithField("contact", contact).Info("contactChanged")
 	}
 	member := r.node.Voter(r.id)
-	if (!member || !r.node.HeardRecently()) && now-r.joinedAt >= joinInterval {
+	if (!member || !contact) && now-r.joinedAt >= joinInterval {
 		r.joinedAt = now
 		r.mesh.broadcast(proto.ToPlane{Join: r.id})
 	}
@@ -177,12 +177,7 @@
 
 // maybeSnapshot replaces a log that has grown long.
 func (r *Replica) maybeSnapshot() {
-	tail := r.node.Tail()
-	size := 0
-	for _, e := range tail {
-		size += len(e.Data)
-	}
-	if len(tail) < snapshotEntries && size < snapshotBytes {
+	if len(r.node.Tail()) < snapshotEntries && r.node.TailBytes() < snapshotBytes {
 		return
 	}
 	data, err := cbor.Marshal(r.held)
