Gather changed records in one place

Cause: the hub and the registry collected changed records for 30 ms by the same lines. Change: feed.Gatherer serves both.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -16,12 +16,10 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -49,20 +47,13 @@
 	replicas    []string
 	contact     bool
 	subscribers map[*subscriber]bool
-	// pending are records that wait for others to be told of with them.
-	pending map[uint64]roster.Server
+	gatherer    Gatherer
 	// whole is every record, encoded for new subscribers; nil when outdated.
 	whole *links.Encoded[proto.Update]
 	// pushes counts the calls of Push, to notice those during a call of All.
 	pushes uint64
 }
 
-// gatherTime is how long a changed record waits for others. When many backend
-// servers start or leave together, subscribers get a few messages instead of one
-// for each; it is a hundredth of the shortest time within which a change has to be
-// known everywhere, 3 s.
-const gatherTime = 30 * time.Millisecond
-
 // subscriber is one linked entry instance.
 type subscriber struct {
 	conn       *conn
@@ -109,7 +100,7 @@
 }
 
 // Push tells the subscribers of records that changed, together with others that
-// change within gatherTime.
+// change within a moment.
 func (h *Hub) Push(changed []roster.Server) {
 	if len(changed) == 0 {
 		return
@@ -118,21 +109,12 @@
 	defer h.mu.Unlock()
 	h.whole = nil
 	h.pushes++
-	if h.pending == nil {
-		h.pending = map[uint64]roster.Server{}
-		time.AfterFunc(gatherTime, h.flush)
-	}
-	for _, s := range changed {
-		h.pending[s.ID] = s
-	}
+	h.gatherer.Add(changed, h.tellServers)
 }
 
-// flush tells the subscribers of the records that were gathered.
-func (h *Hub) flush() {
+func (h *Hub) tellServers(servers []roster.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	servers := slices.Collect(maps.Values(h.pending))
-	h.pending = nil
 	h.tell(proto.Update{Servers: servers})
 }
 
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,9 +23,8 @@
 	serial  uint64
 	waiting map[uint64]*confirmation
 	// settled has the incarnations whose leaving a majority of replicas knows.
-	settled map[uint64]uint64
-	// pending are records that wait for others to be spread with them.
-	pending map[uint64]roster.Server
+	settled  map[uint64]uint64
+	gatherer feed.Gatherer // of what the other replicas are told
 	// sentAll is when the whole roster was last sent to a replica.
 	sentAll map[string]time.Duration
 }
@@ -119,7 +117,7 @@
 
 // spread tells entry instances and replicas of changed records. With confirm it does
 // so at once and returns what the replicas' confirmations are counted in; otherwise
-// records wait for others that change within gatherTime.
+// records wait a moment for others that change.
 func (g *registry) spread(changed []roster.Server, confirm bool) *confirmation {
 	if len(changed) == 0 {
 		return nil
@@ -131,25 +129,11 @@
 		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: changed, Serial: g.serial}})
 		return c
 	}
-	if g.pending == nil {
-		g.pending = map[uint64]roster.Server{}
-		time.AfterFunc(gatherTime, g.flush)
-	}
-	for _, s := range changed {
-		g.pending[s.ID] = s
-	}
+	g.gatherer.Add(changed, g.tellReplicas)
 	return nil
 }
 
-// gatherTime is how long a changed record waits for others before the replicas are
-// told. When many backend servers start together they get a few messages.
-const gatherTime = 30 * time.Millisecond
-
-func (g *registry) flush() {
-	g.mu.Lock()
-	servers := slices.Collect(maps.Values(g.pending))
-	g.pending = nil
-	g.mu.Unlock()
+func (g *registry) tellReplicas(servers []roster.Server) {
 	g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: servers}})
 }
 
