Serve links in one place, and forget removed routes

And an entry instance kept every route that was ever removed while it ran.

Before and after: the new test of core/flow fails without the change (the packet is still reset); the others pass as before.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -83,7 +84,7 @@
 
 	configured bool
 	config     config.Configuration
-	dropped    map[netip.AddrPort]bool
+	dropped    map[netip.AddrPort]time.Duration // routes that were removed, and when
 	roster     roster.Roster
 	servers    map[uint64]*cookieServer
 	// claims are the backend servers with a cookie; the first one owns it.
@@ -99,15 +100,15 @@
 
 // Configure puts a configuration into force. It reports false for one that is
 // not newer than the present one: an instance never goes back.
-func (b *CookieBalancer) Configure(c config.Configuration) bool {
+func (b *CookieBalancer) Configure(now time.Duration, c config.Configuration) bool {
 	if b.configured && c.Version <= b.config.Version {
 		return false
 	}
 	if b.dropped == nil {
-		b.dropped = map[netip.AddrPort]bool{}
+		b.dropped = map[netip.AddrPort]time.Duration{}
 	}
 	for _, r := range b.config.Routes {
-		b.dropped[r.Address] = true
+		b.dropped[r.Address] = now
 	}
 	for _, r := range c.Routes {
 		delete(b.dropped, r.Address)
@@ -133,8 +134,10 @@
 	return changed
 }
 
-// Forget drops the backend servers that have been gone for long.
+// Forget drops the backend servers that have been gone, and the routes that have been
+// removed, for so long that no flow of theirs is left.
 func (b *CookieBalancer) Forget(now time.Duration) {
+	maps.DeleteFunc(b.dropped, func(_ netip.AddrPort, at time.Duration) bool { return now-at > roster.GoneTimeout })
 	if b.roster.Forget(now) == 0 {
 		return
 	}
@@ -302,10 +305,11 @@
 		return b.start(now, h, key)
 	}
 	s := b.owner(h.Cookie)
+	_, dropped := b.dropped[h.Dest]
 	switch {
 	case s == nil:
 		return CookieVerdict{Action: Hold, Reason: UnknownCookie}
-	case b.dropped[h.Dest]:
+	case dropped:
 		return CookieVerdict{Action: Reset, Reason: RouteDropped, Server: s.ID}
 	case s.Phase == roster.Gone && now-s.goneAt > goneGrace:
 		return CookieVerdict{Action: Reset, Reason: ServerGone, Server: s.ID}
--- a/core/flow/cookie_test.go
+++ b/core/flow/cookie_test.go
@@ -44,7 +44,7 @@
 	}
 	BeforeEach(func() {
 		b = &flow.CookieBalancer{Zone: "a"}
-		b.Configure(configuration(3, yard, stud))
+		b.Configure(0, configuration(3, yard, stud))
 		b.Learn(0, []roster.Server{backend(1, "yard"), backend(2, "yard"), backend(3, "stud")})
 	})
 
@@ -100,16 +100,24 @@
 		none := opening
 		none.Dest = netip.MustParseAddrPort("192.0.2.77:443")
 		Expect(b.Decide(0, none).Reason).To(Equal(flow.NoRoute))
-		b.Configure(configuration(4, stud))
+		b.Configure(0, configuration(4, stud))
 		Expect(b.Decide(0, opening).Action).To(Equal(flow.Reset))
 		Expect(b.Decide(0, later(flow.CookieOf(1))).Reason).To(Equal(flow.RouteDropped))
-		b.Configure(configuration(5, stud, yard))
+		b.Configure(0, configuration(5, stud, yard))
+		Expect(b.Decide(0, later(flow.CookieOf(1))).Action).To(Equal(flow.Forward))
+	})
+
+	It("forgets a removed route when no flow of it can be left", func() {
+		b.Configure(time.Minute, configuration(4, stud))
+		b.Forget(time.Minute + roster.GoneTimeout)
+		Expect(b.Decide(0, later(flow.CookieOf(1))).Reason).To(Equal(flow.RouteDropped))
+		b.Forget(time.Minute + roster.GoneTimeout + 1)
 		Expect(b.Decide(0, later(flow.CookieOf(1))).Action).To(Equal(flow.Forward))
 	})
 
 	It("keeps flows whose route it has never known", func() {
 		young := &flow.CookieBalancer{Zone: "a"}
-		young.Configure(configuration(2, stud))
+		young.Configure(0, configuration(2, stud))
 		young.Learn(0, []roster.Server{backend(1, "yard")})
 		Expect(young.Decide(0, later(flow.CookieOf(1))).Action).To(Equal(flow.Forward))
 	})
@@ -119,13 +127,13 @@
 		Expect(young.Ready()).To(BeFalse())
 		Expect(young.Decide(0, opening).Reason).To(Equal(flow.NoConfig))
 		Expect(young.Decide(0, later(5)).Reason).To(Equal(flow.UnknownCookie))
-		young.Configure(configuration(2, yard))
+		young.Configure(0, configuration(2, yard))
 		Expect(young.Decide(0, opening).Reason).To(Equal(flow.NoServer))
 	})
 
 	It("never goes back to an older configuration", func() {
-		Expect(b.Configure(configuration(2))).To(BeFalse())
-		Expect(b.Configure(configuration(3))).To(BeFalse())
+		Expect(b.Configure(0, configuration(2))).To(BeFalse())
+		Expect(b.Configure(0, configuration(3))).To(BeFalse())
 		Expect(b.Decide(0, opening).Action).To(Equal(flow.Forward))
 	})
 
@@ -145,7 +153,7 @@
 		second.Incarnation = 2
 		for _, order := range [][]roster.Server{{first, second}, {second, first}} {
 			c := &flow.CookieBalancer{Zone: "a"}
-			c.Configure(configuration(3, yard))
+			c.Configure(0, configuration(3, yard))
 			c.Learn(0, order)
 			Expect(c.Decide(0, later(flow.CookieOf(long))).Server).To(Equal(first.ID))
 			Expect(c.Decide(0, opening).Server).To(Equal(first.ID))
@@ -161,7 +169,7 @@
 		other := &flow.CookieBalancer{Zone: "b"}
 		count := map[uint64]int{}
 		for _, x := range []*flow.CookieBalancer{b, other} {
-			x.Configure(c)
+			x.Configure(0, c)
 			x.Learn(0, []roster.Server{backend(1, "yard"), backend(2, "yard"), backend(3, "stud")})
 		}
 		const flows = 2000
@@ -180,7 +188,7 @@
 // flow among 150 backend servers.
 func BenchmarkDecideByCookie(b *testing.B) {
 	balancer := &flow.CookieBalancer{Zone: "a"}
-	balancer.Configure(configuration(1, yard))
+	balancer.Configure(0, configuration(1, yard))
 	var servers []roster.Server
 	for id := range uint64(150) {
 		servers = append(servers, backend(id+1, "yard"))
@@ -200,7 +208,7 @@
 	for _, n := range []uint64{150, 1500, 12000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			balancer := &flow.CookieBalancer{Zone: "a"}
-			balancer.Configure(configuration(1, yard))
+			balancer.Configure(0, configuration(1, yard))
 			var servers []roster.Server
 			for id := range n {
 				servers = append(servers, backend(id+1, "yard"))
@@ -221,7 +229,7 @@
 	for _, n := range []uint64{150, 1500, 12000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			balancer := &flow.CookieBalancer{Zone: "a"}
-			balancer.Configure(configuration(1, yard))
+			balancer.Configure(0, configuration(1, yard))
 			var servers []roster.Server
 			for id := range n {
 				servers = append(servers, backend(id+1, "yard"))
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -24,7 +24,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,8 @@
 	firstDialTimeout = 200 * time.Millisecond
 	dialTimeout      = time.Second
 	redialDelay      = 100 * time.Millisecond
+	// headerTimeout ends a connection on which no whole request arrives.
+	headerTimeout = 5 * time.Second
 
 	// silentHeartbeats is the number of heartbeats that may be missed, so that
 	// one lost packet and its retransmission do not end a connection.
@@ -268,6 +272,17 @@
 	}
 }
 
+// Serve serves h at an address until the server is closed.
+func Serve(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go s.Serve(l)
+	return s, nil
+}
+
 // Handler accepts connections without heartbeats and runs serve for each of them.
 func Handler[S, R any](ctx context.Context, meter *Meter, serve func(*Conn[S, R])) http.Handler {
 	return BeatingHandler(ctx, meter, 0, serve)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -26,11 +26,11 @@
 package plane
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -62,7 +62,6 @@
 	// as out of contact: twice the shortest election timeout.
 	contactTimeout = 2 * electionTicks * tickInterval
 	postQueue      = 4096
-	headerTimeout  = 5 * time.Second
 
 	// A snapshot replaces the log when it has grown past either limit; both are
 	// small against a disk of 100 MB.
@@ -149,21 +148,15 @@
 		st.Close()
 		return nil, err
 	}
-	bind := cfg.Listen
-	if cfg.Bind.IsValid() {
-		bind = cfg.Bind
-	}
-	listener, err := net.Listen("tcp", bind.String())
+	mux := http.NewServeMux()
+	mux.Handle(proto.PlanePath, links.BeatingHandler(r.ctx, &r.meter, proto.LinkHeartbeat, r.servePlane))
+	mux.Handle(proto.RelayPath, r.registry.hub.Handler(r.ctx, &r.meter))
+	r.server, err = links.Serve(cmp.Or(cfg.Bind, cfg.Listen), mux)
 	if err != nil {
 		r.cancel()
 		st.Close()
-		return nil, fmt.Errorf("listen for links: %w", err)
+		return nil, fmt.Errorf("serve links: %w", err)
 	}
-	mux := http.NewServeMux()
-	mux.Handle(proto.PlanePath, links.BeatingHandler(r.ctx, &r.meter, proto.LinkHeartbeat, r.servePlane))
-	mux.Handle(proto.RelayPath, r.registry.hub.Handler(r.ctx, &r.meter))
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go r.server.Serve(listener)
 	r.mesh.link(r.knownAddresses())
 	go r.run()
 	go r.registry.run(r.ctx)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -19,6 +19,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -33,6 +34,7 @@
 	"boragepost/core/flow"
 	"boragepost/core/roster"
 	"boragepost/io/feed"
+	"boragepost/io/links"
 	"boragepost/io/proto"
 	"boragepost/io/timer"
 )
@@ -44,7 +46,6 @@
 	maxPacket    = 2048
 	// expireInterval is how often the load tracker drops what is outdated.
 	expireInterval = time.Second
-	headerTimeout  = 5 * time.Second
 	// defaultIdleTimeout holds before the configuration names one.
 	defaultIdleTimeout = 15 * time.Second
 )
@@ -147,18 +148,13 @@
 		defer r.mu.Unlock()
 		return r.balancer.Servers()
 	}
-	bind := r.cfg.Link
-	if r.cfg.Bind.IsValid() {
-		bind = r.cfg.Bind
-	}
-	listener, err := net.Listen("tcp", bind.String())
-	if err != nil {
-		return fmt.Errorf("listen for links: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.Handle(proto.RelayPath, r.hub.Handler(r.ctx, &r.counters.meter))
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go r.server.Serve(listener)
+	server, err := links.Serve(cmp.Or(r.cfg.Bind, r.cfg.Link), mux)
+	if err != nil {
+		return fmt.Errorf("serve links: %w", err)
+	}
+	r.server = server
 	return nil
 }
 
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -253,7 +253,7 @@
 	}
 	l.config = next
 	former, _ := r.balancer.Config()
-	if r.balancer.Configure(next) {
+	if r.balancer.Configure(r.now(), next) {
 		r.hub.Configure(next)
 		log.WithField("former", former.Version).WithField("routes", len(next.Routes)).Info("configurationInForce")
 	}
