Do not take silence from the time of a cut

When the cut healed its replica judged the zone's five backend servers as silent, 0.5 s after the others had just been told that they live: it had last heard them 3.6 s before, because meanwhile they had tried the replicas that they could not reach. All instances then avoided the whole zone for 0.4 to 1 s, until the next announcements.

Ruled out: a wrong order of records (the same sequence with silence is newer, as meant), and announcements lost at the replica (it took each that came).

Change: silence counts from the moment since when a replica is in contact.

Before and after: the new test of core/roster fails without the change.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	changed := r.Merge(now, server)       // announcements and records of others
-//	changed = r.Silence(now, limit)       // backend servers that went quiet
+//	changed = r.Silence(now, hearing, limit) // backend servers that went quiet
 //	for s := range r.All() { ... }
 //
 // A Roster belongs to one goroutine. Times are readings of one monotonic clock.
@@ -251,11 +251,12 @@
 }
 
 // Silence marks the backend servers of which nothing was heard for longer than
-// limit, and returns the records that changed.
-func (r *Roster) Silence(now, limit time.Duration) (changed []Server) {
+// limit, and returns the records that changed. hearing is since when the holder has
+// heard what other holders hear: silence before that proves nothing.
+func (r *Roster) Silence(now, hearing, limit time.Duration) (changed []Server) {
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		e := r.servers[id]
-		if e.server.Phase == Gone || e.server.Silent || now-e.heard <= limit {
+		if e.server.Phase == Gone || e.server.Silent || now-max(e.heard, hearing) <= limit {
 			continue
 		}
 		c, _ := r.Merge(now, e.server.WithSilence(true))
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -84,14 +84,21 @@
 
 	It("marks the silent, and takes that back on the next sign of life", func() {
 		r.Announced(0, server(1, 5, 1))
-		Expect(r.Silence(3*time.Second, 4*time.Second)).To(BeEmpty())
-		Expect(r.Silence(5*time.Second, 4*time.Second)).To(HaveLen(1))
-		Expect(r.Silence(6*time.Second, 4*time.Second)).To(BeEmpty())
+		Expect(r.Silence(3*time.Second, 0, 4*time.Second)).To(BeEmpty())
+		Expect(r.Silence(5*time.Second, 0, 4*time.Second)).To(HaveLen(1))
+		Expect(r.Silence(6*time.Second, 0, 4*time.Second)).To(BeEmpty())
 		Expect(r.Alive(7*time.Second, []roster.Sign{{ID: 1, Incarnation: 5, Sequence: 2}})).To(HaveLen(1))
 		s, _ := r.Get(1)
 		Expect(s.Silent).To(BeFalse())
 	})
 
+	It("takes no silence from the time in which others were not heard", func() {
+		r.Announced(0, server(1, 5, 1))
+		hearing := 9 * time.Second // a cut has healed
+		Expect(r.Silence(10*time.Second, hearing, 4*time.Second)).To(BeEmpty())
+		Expect(r.Silence(14*time.Second, hearing, 4*time.Second)).To(HaveLen(1))
+	})
+
 	It("reports each announcement once as a sign of life", func() {
 		r.Announced(0, server(1, 5, 1))
 		r.Announced(0, server(1, 5, 2))
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -20,6 +20,7 @@
 	roster  roster.Roster
 	hub     feed.Hub
 	voters  int
+	hearing time.Duration // since when this replica is in contact with the others
 	serial  uint64
 	waiting map[uint64]*confirmation
 	// settled has the incarnations whose leaving a majority of replicas knows.
@@ -255,9 +256,10 @@
 	g.r.mesh.broadcast(proto.ToPlane{Alive: &proto.Alive{
 		From: g.r.id, Signs: g.roster.Heard(), Digest: g.roster.Digest()}})
 	if !g.r.InContact() {
-		return // what others hear does not arrive here
+		g.hearing = g.r.now() // what others hear does not arrive here
+		return
 	}
-	if changed := g.roster.Silence(g.r.now(), g.r.cfg.ServerTimeout); len(changed) > 0 {
+	if changed := g.roster.Silence(g.r.now(), g.hearing, g.r.cfg.ServerTimeout); len(changed) > 0 {
 		g.logChanges("silence", changed)
 		g.spread(changed, false)
 	}
