Run the stand-in backend servers as processes, and crash and pause them

Cause: the stand-in backend servers lived inside the test, so that no signal could reach one of them, and the soak had no faults of backend servers but planned ones.

Change: the stand-in program runs a platform backend server, managed over HTTP (report, drain); deployments start each as a process of its own; the soak has two new faults, crashServer and pauseServer. One type serves all processes.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -15,11 +15,13 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"boragepost/platform/soak"
+	"boragepost/platform/stand"
 )
 
 func main() {
 	app := kingpin.New("soak", "Run the product under random faults and check its promises.")
 	program := app.Flag("program", "The product's program.").Default("target/boragepost").String()
+	standIn := app.Flag("standin", "The program of the stand-ins.").Default("target/standin").String()
 	seed := app.Flag("seed", "First seed; 0 draws one.").Uint64()
 	seeds := app.Flag("seeds", "Number of seeds to play, one after the other.").Default("1").Int()
 	dir := app.Flag("dir", "Folder for disks and logs.").Default(filepath.Join(os.TempDir(), "boragepost-soak")).String()
@@ -39,7 +41,7 @@
 	failed := 0
 	for i := range uint64(*seeds) {
 		cfg := soak.Config{
-			Seed: *seed + i, Program: *program, Dir: filepath.Join(*dir, fmt.Sprint("seed", *seed+i)),
+			Seed: *seed + i, Programs: stand.Programs{Product: *program, StandIn: *standIn}, Dir: filepath.Join(*dir, fmt.Sprint("seed", *seed+i)),
 			Area:   byte(firstArea + (*seed+i)%areas),
 			Faults: *faults, Length: *length, Control: *control, Entries: *entries, Servers: *servers, Skip: *skip,
 		}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
 // Command standin runs one stand-in for what surrounds boragepost: a fabric, a
-// backend server, or a caller. It is used by tests only.
+// backend server, a caller, or a backend server of the users' platform. It is used by
+// tests only.
 package main
 
 import (
@@ -16,13 +17,14 @@
 	"go.yaml.in/yaml/v3"
 
 	"boragepost/io/stand"
+	platform "boragepost/platform/stand"
 )
 
 func main() {
 	app := kingpin.New("standin", "A stand-in for what surrounds boragepost.")
-	kind := app.Arg("kind", "Kind of stand-in.").Required().Enum("fabric", "server", "flows", "orders")
+	kind := app.Arg("kind", "Kind of stand-in.").Required().Enum("fabric", "server", "flows", "orders", "platformServer")
 	config := app.Flag("config", "Configuration file.").Required().String()
-	report := app.Flag("report", "Endpoint that serves a caller's report.").String()
+	report := app.Flag("report", "Endpoint that serves a report.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -39,6 +41,14 @@
 		return start(ctx, config, stand.StartFabric)
 	case "server":
 		return start(ctx, config, stand.StartServer)
+	case "platformServer":
+		return start(ctx, config, func(ctx context.Context, c platform.ServerConfig) (any, error) {
+			s, err := platform.StartServer(ctx, c)
+			if err == nil {
+				platform.ServeManagement(ctx, report, s)
+			}
+			return s, err
+		})
 	case "flows":
 		return start(ctx, config, func(ctx context.Context, c stand.FlowsConfig) (any, error) {
 			f, err := stand.StartFlows(ctx, c)
