Let control replicas forget backend servers that are long gone

Cause: found while reading for the size to design for. Control replicas never called Forget, so each start of a backend server stayed in their memory, their checkpoints and every whole update for good. Forgetting alone would not have done: the digest by which replicas compare their rosters counted the gone ones, and they are forgotten at different times, so that whole rosters would have been exchanged each second.

Change: the digest leaves out what is gone, is kept up to date instead of worked out twice a second, and covers service, zone, address and slots, which it did not; replicas forget; the newest start of an address is forgotten with its backend server.

Before and after: two new tests of core/roster fail without the change; TestOrderDoesNotMatter now compares all records too, gone ones included, and holds for 20,000 histories.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -107,6 +107,7 @@
 	// newest is the newest incarnation that any record has named at an address.
 	newest map[netip.AddrPort]uint64
 	heard  map[uint64]Sign // announcements since the last call of Heard
+	digest uint64          // of all records
 }
 
 type entry struct {
@@ -150,18 +151,22 @@
 	}
 }
 
-// Digest returns a hash of how the backend servers are used. Rosters with equal
-// digests place flows alike.
-func (r *Roster) Digest() uint64 {
-	sum := uint64(0)
-	for id, e := range r.servers {
-		state := uint64(e.server.Phase)
-		if e.server.Silent {
-			state |= 1 << 8
-		}
-		sum ^= place.Mix(place.Mix(id, e.server.Incarnation), state)
+// Digest returns a hash of how the backend servers are used that are not gone. Rosters
+// with equal digests place flows alike. Those that are gone do not count, because
+// holders forget them at different times.
+func (r *Roster) Digest() uint64 { return r.digest }
+
+// useHash returns what a record adds to the digest.
+func (s Server) useHash() uint64 {
+	if s.Phase == Gone {
+		return 0
+	}
+	state := uint64(s.Phase) | uint64(s.Slots)<<16
+	if s.Silent {
+		state |= 1 << 8
 	}
-	return sum
+	use := place.Hash(s.Service + "/" + s.Zone + "/" + s.Address.String())
+	return place.Mix(place.Mix(s.ID, s.Incarnation), place.Mix(use, state))
 }
 
 // Merge takes in a record and returns what others must be told: the records that
@@ -208,9 +213,13 @@
 		r.servers = map[uint64]*entry{}
 	}
 	e := &entry{server: s, heard: now}
-	if old, known := r.servers[s.ID]; known && s.Silent {
-		e.heard = old.heard
+	if old, known := r.servers[s.ID]; known {
+		r.digest ^= old.server.useHash()
+		if s.Silent {
+			e.heard = old.heard
+		}
 	}
+	r.digest ^= s.useHash()
 	r.servers[s.ID] = e
 }
 
@@ -270,8 +279,12 @@
 func (r *Roster) Forget(now time.Duration) int {
 	before := len(r.servers)
 	for id, e := range r.servers {
-		if e.server.Phase == Gone && now-e.heard > GoneTimeout {
-			delete(r.servers, id)
+		if e.server.Phase != Gone || now-e.heard <= GoneTimeout {
+			continue
+		}
+		delete(r.servers, id)
+		if r.newest[e.server.Address] == e.server.Incarnation {
+			delete(r.newest, e.server.Address)
 		}
 	}
 	return before - len(r.servers)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -112,6 +112,33 @@
 		Expect(stale).To(BeTrue())
 	})
 
+	It("has the digest of another that has forgotten what is gone", func() {
+		r.Announced(0, server(1, 5, 1))
+		other := &roster.Roster{}
+		other.Announced(0, server(1, 5, 1))
+		r.Announced(0, server(2, 5, 1))
+		Expect(r.Digest()).NotTo(Equal(other.Digest()))
+		r.Announced(0, server(2, 5, 2).WithPhase(roster.Gone))
+		Expect(r.Digest()).To(Equal(other.Digest()))
+	})
+
+	It("has another digest for every change of use", func() {
+		r.Announced(0, server(1, 5, 1))
+		for i, change := range []func(*roster.Server){
+			func(s *roster.Server) { s.Silent = true },
+			func(s *roster.Server) { s.Phase = roster.Draining },
+			func(s *roster.Server) { s.Slots++ },
+			func(s *roster.Server) { s.Zone = "other" },
+			func(s *roster.Server) { s.Service = "other" },
+		} {
+			s := server(1, 5, uint64(i+2))
+			change(&s)
+			before := r.Digest()
+			r.Announced(0, s)
+			Expect(r.Digest()).NotTo(Equal(before), "change %d", i)
+		}
+	})
+
 	It("forgets what has been gone for long", func() {
 		r.Announced(0, server(1, 5, 1).WithPhase(roster.Gone))
 		Expect(r.Forget(roster.GoneTimeout)).To(BeZero())
@@ -141,8 +168,13 @@
 		for _, s := range other {
 			b.Merge(0, s)
 		}
-		if a.Digest() != b.Digest() {
+		if a.Digest() != b.Digest() || !slices.EqualFunc(slices.Collect(a.All()), slices.Collect(b.All()), sameLife) {
 			t.Fatalf("%v\nbut\n%v", slices.Collect(a.All()), slices.Collect(b.All()))
 		}
 	})
 }
+
+// sameLife reports whether two records say the same of one start.
+func sameLife(a, b roster.Server) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Phase == b.Phase
+}
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -253,6 +253,7 @@
 func (g *registry) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.roster.Forget(g.r.now())
 	g.r.mesh.broadcast(proto.ToPlane{Alive: &proto.Alive{
 		From: g.r.id, Signs: g.roster.Heard(), Digest: g.roster.Digest()}})
 	if !g.r.InContact() {
