Take the whole from one replica at the start of an entry instance

Cause: an instance that starts links to three replicas, and each sent it every backend server.

Ruled out: links that carry digests only and are asked when they differ. Deltas are small, and three of them at once are what keeps a change in its bound when a link falls silent; it is the whole that need not come three times.

Change: the first link subscribes at once, the others when it has brought the whole, when its replica turns out to know nothing, when it closes, or after 0.9 s. A subscription names the digest of what is known, and equal digests send nothing, also after links were reset.

Before and after: the new test of io/relay counted 3 wholes, now 1.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -281,6 +281,9 @@
 // included.
 func (b *CookieBalancer) Servers() []roster.Server { return slices.Collect(b.roster.All()) }
 
+// Digest returns the digest of the backend servers that the balancer knows.
+func (b *CookieBalancer) Digest() uint64 { return b.roster.Digest() }
+
 // Count returns the number of backend servers in a phase.
 func (b *CookieBalancer) Count(phase roster.Phase) int {
 	n := 0
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	hub := &feed.Hub{All: roster.All}
+//	hub := &feed.Hub{All: all, Digest: digest}
 //	mux.Handle(proto.RelayPath, hub.Handler(ctx, &meter))
 //	hub.Configure(configuration)
 //	hub.Push(changed)
@@ -39,6 +39,9 @@
 type Hub struct {
 	// All returns every record of a backend server.
 	All func() []roster.Server
+	// Digest returns the digest of those records. A subscriber that has it gets
+	// only what changes from then on.
+	Digest func() uint64
 	// Log, if set, is told of subscribers that come and go.
 	Log *logrus.Entry
 
@@ -171,8 +174,10 @@
 	}
 	s := &subscriber{conn: c, address: hello.Address, zone: hello.Zone}
 	h.join(s, hello.Version)
-	// Records that are pushed from now on may overtake these.
-	c.SendEncoded(h.everything())
+	if hello.Digest == 0 || hello.Digest != h.Digest() {
+		// Records that are pushed from now on may overtake these.
+		c.SendEncoded(h.everything())
+	}
 	h.note("instanceLinked", hello)
 	for range c.Messages() {
 		// Subscribers send nothing else.
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -48,7 +48,7 @@
 
 func (g *registry) init(r *Replica) {
 	g.r = r
-	g.hub.All, g.hub.Log = g.all, r.log
+	g.hub.All, g.hub.Digest, g.hub.Log = g.all, g.digest, r.log
 	g.hub.Configure(r.held.Configuration)
 	g.waiting = map[uint64]*confirmation{}
 	g.settled = map[uint64]uint64{}
@@ -228,6 +228,12 @@
 	return slices.Collect(g.roster.All())
 }
 
+func (g *registry) digest() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Digest()
+}
+
 // setVoters sets how many replicas vote, a majority of which has to know that a
 // backend server leaves.
 func (g *registry) setVoters(n int) {
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -77,10 +77,12 @@
 	Version uint64 `cbor:"3,keyasint,omitempty"`
 	// Address is where the instance feeds others.
 	Address string `cbor:"4,keyasint,omitempty"`
+	// Digest is of the backend servers that the instance knows; 0 for none.
+	Digest uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Update tells an entry instance what changed. The first ones on a link hold
-// everything.
+// everything that the instance does not have.
 type Update struct {
 	Config  *config.Delta   `cbor:"1,keyasint,omitempty"`
 	Servers []roster.Server `cbor:"2,keyasint,omitempty"`
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -148,6 +148,11 @@
 		defer r.mu.Unlock()
 		return r.balancer.Servers()
 	}
+	r.hub.Digest = func() uint64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.balancer.Digest()
+	}
 	mux := http.NewServeMux()
 	mux.Handle(proto.RelayPath, r.hub.Handler(r.ctx, &r.counters.meter))
 	server, err := links.Serve(cmp.Or(r.cfg.Bind, r.cfg.Link), mux)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -34,6 +34,7 @@
 	hub     feed.Hub
 	mu      sync.Mutex
 	servers []roster.Server
+	wholes  int // how often all records were asked for
 	server  *httptest.Server
 	cut     context.CancelFunc // ends the links
 }
@@ -43,8 +44,18 @@
 	r.hub.All = func() []roster.Server {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.wholes++
 		return r.servers
 	}
+	r.hub.Digest = func() uint64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		var held roster.Roster
+		for _, s := range r.servers {
+			held.Merge(0, s)
+		}
+		return held.Digest()
+	}
 	r.hub.SetContact(true)
 	ctx, cut := context.WithCancel(context.Background())
 	r.cut = cut
@@ -235,6 +246,49 @@
 		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
 	})
 
+	It("takes the whole from one replica alone", func() {
+		replicas := []*replica{startReplica(), startReplica(), startReplica()}
+		var seeds []netip.AddrPort
+		for _, replica := range replicas {
+			replica.hub.Configure(version(1, yard))
+			replica.add(server())
+			seeds = append(seeds, replica.address())
+		}
+		r := start("a", seeds...)
+		Eventually(r.Ready, patience).Should(BeTrue())
+		wholes := 0
+		for _, replica := range replicas {
+			Eventually(replica.hub.Linked, patience).Should(Equal(1))
+			replica.mu.Lock()
+			wholes += replica.wholes
+			replica.mu.Unlock()
+		}
+		Expect(wholes).To(Equal(1))
+		for _, replica := range replicas[:2] {
+			replica.stop()
+		}
+		send(r, 1)
+		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
+		replicas[2].hub.Configure(version(2))
+		Eventually(func() string {
+			send(r, 1)
+			caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			buf := make([]byte, 100)
+			size, _ := caller.Read(buf)
+			return string(buf[:size])
+		}, patience).Should(Equal("reset"), "the third link brings what is new")
+	})
+
+	It("asks another replica when the first one knows nothing", func() {
+		young, old := startReplica(), startReplica()
+		old.hub.Configure(version(1, yard))
+		old.add(server())
+		begin := time.Now()
+		r := start("a", young.address(), old.address())
+		Eventually(r.Ready, patience, "5ms").Should(BeTrue())
+		Expect(time.Since(begin)).To(BeNumerically("<", 700*time.Millisecond))
+	})
+
 	It("follows a replica that has contact instead of one that has lost it", func() {
 		lost, other := startReplica(), startReplica()
 		lost.hub.SetContact(false)
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -27,6 +27,9 @@
 	// without contact to the leader, before another replica is tried. It leaves
 	// half of the shortest time in which a change must be in force, 3 s.
 	patience = 1200 * time.Millisecond
+	// wholeTimeout is how long the other links wait for the first one to bring the
+	// whole: as long as a silent link takes to be noticed.
+	wholeTimeout = 3 * proto.LinkHeartbeat
 )
 
 type replicaConn = links.Conn[proto.Subscribe, proto.Update]
@@ -43,6 +46,11 @@
 	neighbour  *replicaLink // nil while a replica is of use
 	usefulAt   time.Duration
 	syncedAt   atomic.Int64 // when the first update came; far ahead before it
+	// first is the link that brings the whole after a start. The others subscribe
+	// once whole is closed, so that they do not bring everything once more.
+	first       *replicaLink
+	whole       chan struct{}
+	releaseOnce sync.Once
 }
 
 // replicaLink is one followed replica, or the entry instance in its place.
@@ -62,6 +70,7 @@
 func (u *upstream) init(r *Relay) {
 	u.r = r
 	u.links = map[string]*replicaLink{}
+	u.whole = make(chan struct{})
 	u.syncedAt.Store(int64(1<<62 - 1))
 	r.SetSeeds(r.cfg.Seeds)
 	u.review()
@@ -184,16 +193,63 @@
 }
 
 func (u *upstream) opened(l *replicaLink, c *replicaConn) {
+	u.r.log.WithField("replica", l.address).Info("replicaFound")
+	u.mu.Lock()
+	l.up, l.uselessAt = true, u.r.now()
+	u.mu.Unlock()
+	go u.subscribe(l, c)
+}
+
+// subscribe asks a link for what is new, when it is its turn.
+func (u *upstream) subscribe(l *replicaLink, c *replicaConn) {
+	if !u.isFirst(l) {
+		u.awaitWhole(c)
+	}
 	u.r.mu.Lock()
 	held, _ := u.r.balancer.Config()
+	digest := u.r.balancer.Digest()
 	u.r.mu.Unlock()
-	l.config = held
+	u.mu.Lock()
+	l.config, l.uselessAt = held, u.r.now()
+	u.mu.Unlock()
 	c.Send(proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Version: held.Version,
-		Address: u.r.cfg.Link.String()})
-	u.r.log.WithField("replica", l.address).WithField("version", held.Version).Info("replicaFound")
+		Address: u.r.cfg.Link.String(), Digest: digest})
+	u.r.log.WithField("replica", l.address).WithField("version", held.Version).Info("replicaFollowed")
+}
+
+// isFirst reports whether l is the first link that was opened.
+func (u *upstream) isFirst(l *replicaLink) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	l.up = true
+	if u.first == nil {
+		u.first = l
+	}
+	return u.first == l
+}
+
+// awaitWhole waits until the first link has brought the whole, or is not going to.
+func (u *upstream) awaitWhole(c *replicaConn) {
+	timeout := time.NewTimer(wholeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-u.whole:
+	case <-timeout.C:
+	case <-c.Done():
+	}
+}
+
+// release lets the other links subscribe.
+func (u *upstream) release() { u.releaseOnce.Do(func() { close(u.whole) }) }
+
+// releaseAfter lets them subscribe if an update shows that the first link has brought
+// the whole, or that its replica knows nothing yet.
+func (u *upstream) releaseAfter(l *replicaLink, m proto.Update, configured bool) {
+	u.mu.Lock()
+	first := u.first == l
+	u.mu.Unlock()
+	if first && (!configured || len(m.Servers) > 0) {
+		u.release()
+	}
 }
 
 func (u *upstream) closed(l *replicaLink) {
@@ -201,6 +257,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l.up, l.contact, l.uselessAt = false, false, u.r.now()
+	if u.first == l {
+		u.release()
+	}
 }
 
 func (u *upstream) received(l *replicaLink, m proto.Update) {
@@ -237,9 +296,11 @@
 		r.trace.learned(l.address, changed)
 		r.hub.Push(changed)
 	}
-	if _, ok := r.balancer.Config(); ok && int64(now) < r.upstream.syncedAt.Load() {
+	_, configured := r.balancer.Config()
+	if configured && int64(now) < r.upstream.syncedAt.Load() {
 		r.upstream.syncedAt.Store(int64(now))
 	}
+	r.upstream.releaseAfter(l, m, configured)
 	r.retryHeld(now)
 }
 
