Avoid backend servers whose answers are short

Ruled out: probing health, which is what misleads here; reading answers, which go to callers directly.

Change: the tracker compares how much of an answer its caller acknowledges with what is usual on the route. A row of short answers that chance does not explain makes it avoid the backend server for 2 to 16 s, at a cost of three rounds of work, so that the others are not overloaded. Where sizes vary anyway nothing is an outlier.

Conclusion: right where instances are few; a fleet has to share what it sees.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -317,7 +317,7 @@
 	case s.Phase == roster.Gone && now-s.goneAt > goneGrace:
 		return CookieVerdict{Action: Reset, Reason: ServerGone, Server: s.ID}
 	}
-	b.Load.Observe(now, key, s.ID, load.Packet{Data: h.Data, Ack: h.Ack, Finish: h.Finish})
+	b.Load.Observe(now, key, s.ID, load.Packet{Route: h.Dest, Data: h.Data, Ack: h.Ack, Finish: h.Finish})
 	return CookieVerdict{Action: Forward, Server: s.ID, Target: s.Address}
 }
 
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -18,6 +18,8 @@
 package load
 
 import (
+	"maps"
+	"net/netip"
 	"time"
 
 	"boragepost/core/place"
@@ -53,6 +55,9 @@
 	// not exclude it: a wrong signal must not empty a service.
 	silentCost  = 100
 	suspectCost = 50
+	// erringCost makes a caller wait for three rounds of work rather than get an
+	// error. It is no more than that, so that what is left is not overloaded.
+	erringCost = 3
 )
 
 // Candidate is a backend server that may take a flow.
@@ -68,9 +73,10 @@
 
 // Packet is what a later packet of a flow tells.
 type Packet struct {
-	Data   bool   // it carries request data
-	Ack    uint32 // the answer data that the caller has
-	Finish bool   // the caller ends the flow
+	Route  netip.AddrPort // of the flow
+	Data   bool           // it carries request data
+	Ack    uint32         // the answer data that the caller has
+	Finish bool           // the caller ends the flow
 }
 
 // Tracker is the load as one instance sees it. The zero value works.
@@ -80,6 +86,7 @@
 
 	servers map[uint64]*server
 	flows   map[uint64]*record
+	routes  map[netip.AddrPort]*routeAnswers
 }
 
 type server struct {
@@ -88,6 +95,9 @@
 	missed    int           // opening packets without an answer, in a row
 	suspectTo time.Duration // avoided until then
 	penalty   time.Duration // length of the latest suspicion
+	shortRow  int           // short answers in a row
+	erringTo  time.Duration // avoided for them until then
+	erring    time.Duration // how long the latest time
 }
 
 type state uint8
@@ -102,6 +112,7 @@
 	server uint64
 	state  state
 	ack    uint32
+	base   uint32        // ack when the latest request began
 	since  time.Duration // when the state began
 	seen   time.Duration
 }
@@ -142,8 +153,7 @@
 	r := t.flows[key]
 	if p.Finish {
 		if r != nil {
-			t.answered(r)
-			t.end(key, r)
+			t.finish(now, key, r, p)
 		}
 		return
 	}
@@ -158,7 +168,7 @@
 	switch {
 	case r.state == opening:
 		t.answered(r)
-		r.state, r.ack, r.since = busy, p.Ack, now
+		r.state, r.ack, r.base, r.since = busy, p.Ack, p.Ack, now
 	case r.state == busy && p.Ack != r.ack:
 		t.release(r)
 		if t.Answered != nil {
@@ -167,12 +177,22 @@
 		r.since = now
 	}
 	if r.state == idle && p.Data {
+		t.judge(now, t.server(id), p, p.Ack-r.base)
 		t.server(id).busy++
-		r.state, r.since = busy, now
+		r.state, r.base, r.since = busy, p.Ack, now
 	}
 	r.ack = p.Ack
 }
 
+// finish ends a flow whose caller has ended it.
+func (t *Tracker) finish(now time.Duration, key uint64, r *record, p Packet) {
+	t.answered(r)
+	if r.state != opening {
+		t.judge(now, t.server(r.server), p, p.Ack-r.base)
+	}
+	t.end(key, r)
+}
+
 // Pick returns the index of the candidate that a new flow should go to, or -1
 // without candidates. Among equals the flow's key decides, so that instances
 // with the same view choose alike. avoid names a backend server that has just
@@ -207,6 +227,9 @@
 		if now < s.suspectTo {
 			cost += suspectCost
 		}
+		if now < s.erringTo {
+			cost += erringCost
+		}
 	}
 	if c.Zone != zone {
 		cost += crossZoneCost
@@ -242,8 +265,9 @@
 			t.release(r)
 		}
 	}
+	maps.DeleteFunc(t.routes, func(_ netip.AddrPort, a *routeAnswers) bool { return now-a.seen > routeMemory })
 	for id, s := range t.servers {
-		if s.flows == 0 && s.missed == 0 {
+		if s.flows == 0 && s.missed == 0 && now >= s.erringTo+maxErring {
 			delete(t.servers, id)
 		}
 	}
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -112,4 +112,55 @@
 		Expect(t.Busy(1)).To(BeZero())
 		Expect(t.Busy(2)).To(BeZero())
 	})
+
+	// exchange plays a flow with one request, whose answer has so many bytes.
+	exchange := func(now time.Duration, key, id uint64, bytes uint32) {
+		t.Open(now, key, id)
+		t.Observe(now+ms, key, id, load.Packet{Data: true, Ack: 9})
+		t.Observe(now+30*ms, key, id, load.Packet{Ack: 9 + bytes, Finish: true})
+	}
+
+	It("avoids a backend server whose answers are short, for a while", func() {
+		for key := range uint64(20) {
+			exchange(0, key, 1+key%2, 4000)
+		}
+		Expect(pick(time.Second, here)).To(Equal(pick(time.Second, here)))
+		usual := pick(time.Second, here)
+		exchange(time.Second, 100, usual, 200)
+		Expect(pick(2*time.Second, here)).NotTo(Equal(usual))
+		Expect(pick(4*time.Second, here)).To(Equal(usual), "it is tried again")
+		exchange(4*time.Second, 101, usual, 200)
+		Expect(pick(7*time.Second, here)).NotTo(Equal(usual), "twice as long")
+	})
+
+	It("uses one whose answers are short when there is no other", func() {
+		for key := range uint64(20) {
+			exchange(0, key, 1, 4000)
+		}
+		exchange(time.Second, 100, 1, 200)
+		Expect(pick(2*time.Second, here[:1])).To(Equal(uint64(1)))
+	})
+
+	It("takes no offence where answers vary in size", func() {
+		for key := range uint64(400) {
+			exchange(0, key, 1+key%2, 4000*uint32(1-key/2%2)+500)
+		}
+		usual := pick(time.Second, here)
+		for key := range uint64(3) {
+			exchange(time.Second, 500+key, usual, 500)
+		}
+		Expect(pick(2*time.Second, here)).To(Equal(usual))
+	})
+
+	It("sees the answers of a long flow", func() {
+		for key := range uint64(20) {
+			exchange(0, key, 2, 4000)
+		}
+		usual := pick(time.Second, here)
+		t.Observe(time.Second, 100, usual, load.Packet{Data: true, Ack: 9})
+		t.Observe(time.Second, 100, usual, load.Packet{Ack: 209})
+		t.Observe(time.Second, 100, usual, load.Packet{Data: true, Ack: 209})
+		t.Observe(time.Second, 100, usual, load.Packet{Ack: 409, Finish: true})
+		Expect(pick(2*time.Second, here)).NotTo(Equal(usual))
+	})
 })
--- a/core/load/policy_test.go
+++ b/core/load/policy_test.go
@@ -34,6 +34,10 @@
 	// ones, the next, answer nothing.
 	slowed, dead int
 	slowdown     float64
+	// failing backend servers, the last ones, answer errorShare of the requests with
+	// an error, which takes no time.
+	failing    int
+	errorShare float64
 }
 
 // The work of a request, and what surrounds a backend server.
@@ -47,6 +51,9 @@
 	copyAfter = 200 * time.Millisecond
 	objective = 250 * time.Millisecond
 	sceneTime = 20 * time.Second
+
+	answerBytes = 4000
+	errorBytes  = 250
 )
 
 var scenes = []scene{
@@ -58,6 +65,10 @@
 	{name: "oneDead", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, dead: 1},
 	{name: "fleet", instances: []int{24, 23, 24}, servers: []int{40, 40, 40}, slots: 2, perSecond: 2600},
 	{name: "fleetOneSlow", instances: []int{24, 23, 24}, servers: []int{40, 40, 40}, slots: 2, perSecond: 1500, slowed: 3, slowdown: 6},
+	{name: "oneFails", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, failing: 1, errorShare: 1},
+	{name: "oneGrey", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, failing: 1, errorShare: 0.5},
+	{name: "allGrey", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, failing: 14, errorShare: 0.3},
+	{name: "fleetFails", instances: []int{24, 23, 24}, servers: []int{40, 40, 40}, slots: 2, perSecond: 1600, failing: 18, errorShare: 1},
 }
 
 // policy places a request that arrives at an instance. It returns the index of a
@@ -70,7 +81,7 @@
 
 var policies = []policy{
 	{"random", func(p *play, _ int, _ uint64, avoid int) int {
-		return p.random.IntN(len(p.servers))
+		return p.choice.IntN(len(p.servers))
 	}},
 	{"randomInZone", func(p *play, instance int, _ uint64, avoid int) int {
 		return p.inZone(p.zones[instance])
@@ -94,6 +105,7 @@
 			if s.dead || i == avoid {
 				cost += 1000
 			}
+			cost += 100 * s.errorShare
 			if s.zone != p.zones[instance] {
 				cost += 0.5
 			}
@@ -114,6 +126,7 @@
 	waiting       []*simRequest
 	slowdown      float64
 	dead          bool
+	errorShare    float64
 }
 
 type simRequest struct {
@@ -122,20 +135,23 @@
 	server     int
 	sent       time.Duration
 	work       time.Duration
-	unanswered bool // no backend server has accepted it
+	unanswered bool    // no backend server has accepted it
+	luck       float64 // below a backend server's share of errors it fails
+	failed     bool    // it was answered with an error
 }
 
 // outcome counts what callers got.
 type sceneOutcome struct {
-	timely, late, turnedAway, lost int
-	took                           []time.Duration
+	timely, late, turnedAway, failed, lost int
+	took                                   []time.Duration
 }
 
 // play is one scene with one policy.
 type play struct {
 	scene      scene
 	policy     policy
-	random     *rand.Rand
+	random     *rand.Rand // of the load, the same for each policy
+	choice     *rand.Rand // of the policy
 	now        time.Duration
 	trackers   []*load.Tracker
 	zones      []int // of the instances
@@ -148,7 +164,7 @@
 }
 
 func newPlay(s scene, p policy) *play {
-	pl := &play{scene: s, policy: p, random: rand.New(rand.NewPCG(1, 2))}
+	pl := &play{scene: s, policy: p, random: rand.New(rand.NewPCG(1, 2)), choice: rand.New(rand.NewPCG(3, 4))}
 	for zone, n := range s.instances {
 		for range n {
 			pl.zones = append(pl.zones, zone)
@@ -169,10 +185,18 @@
 			pl.candidates = append(pl.candidates, load.Candidate{ID: uint64(i + 1), Zone: zoneName(zone), Slots: s.slots})
 		}
 	}
+	for _, sv := range pl.servers[len(pl.servers)-s.failing:] {
+		sv.errorShare = s.errorShare
+	}
+	// The failing ones are spread over the zones.
+	pl.random.Shuffle(len(pl.servers), func(i, j int) {
+		a, b := pl.servers[i], pl.servers[j]
+		a.errorShare, b.errorShare = b.errorShare, a.errorShare
+	})
 	return pl
 }
 
-func (p *play) inZone(zone int) int { return p.byZone[zone][p.random.IntN(len(p.byZone[zone]))] }
+func (p *play) inZone(zone int) int { return p.byZone[zone][p.choice.IntN(len(p.byZone[zone]))] }
 
 // run plays the scene and returns what callers got.
 func (p *play) run() sceneOutcome {
@@ -205,7 +229,7 @@
 	}
 	r := &simRequest{
 		key: p.random.Uint64(), instance: p.random.IntN(len(p.zones)), sent: p.now,
-		work: time.Duration(work * float64(time.Second)), unanswered: true,
+		work: time.Duration(work * float64(time.Second)), luck: p.random.Float64(), unanswered: true,
 	}
 	p.open(r, -1)
 	for _, after := range []time.Duration{copyAfter, 3 * copyAfter} {
@@ -251,12 +275,15 @@
 		s.waiting = append(s.waiting, r)
 	default:
 		p.outcome.turnedAway++
-		p.finish(r)
+		p.finish(r, errorBytes)
 	}
 }
 
 func (p *play) work(s *simServer, r *simRequest) {
 	s.running++
+	if r.luck < s.errorShare {
+		r.failed, r.work = true, 0
+	}
 	p.at(p.now+time.Duration(float64(r.work)*s.slowdown), func() {
 		s.running--
 		p.answer(r)
@@ -269,6 +296,11 @@
 }
 
 func (p *play) answer(r *simRequest) {
+	if r.failed {
+		p.outcome.failed++
+		p.finish(r, errorBytes)
+		return
+	}
 	took := p.now - r.sent
 	p.outcome.took = append(p.outcome.took, took)
 	if took <= objective {
@@ -276,16 +308,17 @@
 	} else {
 		p.outcome.late++
 	}
-	p.finish(r)
+	p.finish(r, answerBytes)
 }
 
-func (p *play) finish(r *simRequest) {
+// finish ends a request's flow, after an answer of so many bytes.
+func (p *play) finish(r *simRequest, bytes uint32) {
 	p.servers[r.server].placed--
-	p.trackers[r.instance].Observe(p.now, r.key, uint64(r.server+1), load.Packet{Ack: 2, Finish: true})
+	p.trackers[r.instance].Observe(p.now, r.key, uint64(r.server+1), load.Packet{Ack: 1 + bytes, Finish: true})
 }
 
 // total returns the number of requests.
-func (o sceneOutcome) total() int { return o.timely + o.late + o.turnedAway + o.lost }
+func (o sceneOutcome) total() int { return o.timely + o.late + o.turnedAway + o.failed + o.lost }
 
 // share returns the part of the requests that were answered within the objective.
 func (o sceneOutcome) share() float64 { return float64(o.timely) / float64(o.total()) }
@@ -328,15 +361,15 @@
 func TestPolicies(t *testing.T) {
 	g := NewWithT(t)
 	var table strings.Builder
-	fmt.Fprintf(&table, "%-13s %-13s %7s %6s %6s %6s %9s %9s\n",
-		"load", "policy", "timely", "late", "away", "lost", "p50 ms", "p99 ms")
+	fmt.Fprintf(&table, "%-13s %-13s %7s %6s %6s %6s %6s %9s %9s\n",
+		"load", "policy", "timely", "late", "away", "failed", "lost", "p50 ms", "p99 ms")
 	for _, s := range scenes {
 		shares := map[string]float64{}
 		for _, p := range policies {
 			o := newPlay(s, p).run()
 			shares[p.name] = o.share()
-			fmt.Fprintf(&table, "%-13s %-13s %7.4f %6d %6d %6d %9.1f %9.1f\n", s.name, p.name, o.share(), o.late, o.turnedAway,
-				o.lost, o.percentile(.5).Seconds()*1000, o.percentile(.99).Seconds()*1000)
+			fmt.Fprintf(&table, "%-13s %-13s %7.4f %6d %6d %6d %6d %9.1f %9.1f\n", s.name, p.name, o.share(), o.late, o.turnedAway,
+				o.failed, o.lost, o.percentile(.5).Seconds()*1000, o.percentile(.99).Seconds()*1000)
 		}
 		for _, simple := range []string{"random", "randomInZone", "twoChoices"} {
 			g.Expect(shares["tracker"]).To(BeNumerically(">=", shares[simple]-sameShare), "%s: %s", s.name, simple)
