Share short answers through the leader, and avoid failing backend servers fleet-wide

Each of 71 instances meets each of 120 backend servers about once in 8 s, so that what one learns by itself comes too late.

Change: an answer is short against median and upper quartile of its route's latest 32; entries tell a replica ten times a second at most what they saw, replicas pass it to the leader, whose jury convicts what fails three times as often as usual; verdicts go to all entries and end by themselves.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -285,15 +285,7 @@
 func (b *CookieBalancer) Digest() uint64 { return b.roster.Digest() }
 
 // Count returns the number of backend servers in a phase.
-func (b *CookieBalancer) Count(phase roster.Phase) int {
-	n := 0
-	for _, s := range b.servers {
-		if s.Phase == phase {
-			n++
-		}
-	}
-	return n
-}
+func (b *CookieBalancer) Count(phase roster.Phase) int { return b.roster.Count(phase) }
 
 // Ready reports whether new flows can be served: there is a configuration, and a
 // backend server for some service.
--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -11,22 +12,30 @@
 // others do on the same route, and mostly sooner, so that it would also look like
 // the least busy one.
 const (
-	// shortShare is the part of a route's usual answer below which an answer
-	// counts as short. Errors carry a head and few words.
-	shortShare = 0.5
-	// minAnswers is how many answers of a route are seen before any is judged.
-	minAnswers = 8
-	// A larger answer raises the usual size by a part of the difference, a smaller
-	// one lowers it by less, so that errors do not become usual.
-	usualRise = 0.25
-	usualFall = 1.0 / 64
+	// answersKept is how many of the latest answers of a route are remembered, and
+	// minAnswers how many are needed to judge one.
+	answersKept = 32
+	minAnswers  = 8
+	// An answer is short when the logarithm of its size is shortDeviations below the
+	// median of its route. Sizes of answers to alike requests spread about as a log-normal
+	// distribution, where that is one answer in 700.
+	shortDeviations = 3
+	// minDeviation is the least deviation that is believed, and makes an answer of a
+	// route with equal answers short at two fifths of their size. Errors carry a head
+	// and few words.
+	minDeviation = 0.3
+	// upperQuartile is the distance of the upper quartile from the median, in
+	// deviations of a normal distribution. The lower one may hold errors.
+	upperQuartile = 0.674
 	// rateGain is the weight of the latest answer in a route's share of short ones,
 	// and minRate the least share that is believed.
+	// Above maxRate short answers are nothing to tell others of.
 	rateGain = 1.0 / 64
 	minRate  = 0.02
+	maxRate  = 0.4
 	// chance is how unlikely a row of short answers must be, if all backend servers
 	// of the route were alike, for the backend server to be avoided.
-	chance = 0.05
+	chance = 0.001
 	// erring is how long a backend server is avoided for short answers. It is
 	// several times what it takes to see a few answers of it; it doubles up to
 	// maxErring while the first answer after it is short too.
@@ -38,24 +47,33 @@
 
 // routeAnswers is what is known of the answers of one route.
 type routeAnswers struct {
+	seen time.Duration // when the latest answer was seen
+	// sizes are logarithms of the latest sizes in bytes, a ring of count answers so
+	// far.
+	sizes [answersKept]float64
 	count int
-	seen  time.Duration // when the latest answer was seen
-	usual float64       // size in bytes
-	rate  float64       // share of short answers from backend servers that are not avoided
+	rate  float64 // share of short answers from backend servers that are not avoided
 }
 
 // isShort takes in the size of an answer and reports whether it is short.
 func (a *routeAnswers) isShort(bytes float64) bool {
-	short := a.count >= minAnswers && bytes < shortShare*a.usual
+	size := math.Log(bytes)
+	short := a.count >= minAnswers && size < a.shortest()
+	a.sizes[a.count%answersKept] = size
 	a.count++
-	if bytes > a.usual {
-		a.usual += usualRise * (bytes - a.usual)
-	} else {
-		a.usual += usualFall * (bytes - a.usual)
-	}
 	return short
 }
 
+// shortest returns the size below which an answer is short. Median and upper quartile
+// stay about the same while up to a third of the answers are errors.
+func (a *routeAnswers) shortest() float64 {
+	sorted := a.sizes
+	known := sorted[:min(a.count, answersKept)]
+	slices.Sort(known)
+	median, quartile := known[len(known)/2], known[len(known)*3/4]
+	return median - shortDeviations*max((quartile-median)/upperQuartile, minDeviation)
+}
+
 // note takes in whether an answer was short.
 func (a *routeAnswers) note(short bool) {
 	value := 0.0
@@ -95,10 +113,44 @@
 		return
 	}
 	s.shortRow++
+	if a.rate < maxRate {
+		t.tell(s.id)
+	}
 	if now >= s.erringTo && a.isOutlier(s.shortRow) {
 		s.erring = min(max(2*s.erring, erring), maxErring)
 		s.erringTo = now + s.erring
+		if t.Avoided != nil {
+			t.Avoided(Avoid{ID: s.id, For: s.erring})
+		}
+	}
+}
+
+// tell notes a short answer for TakeShorts.
+func (t *Tracker) tell(id uint64) {
+	if t.shorts == nil {
+		t.shorts = map[uint64]int{}
 	}
+	t.shorts[id]++
+}
+
+// TakeShorts returns the short answers that were seen since its last call, for a
+// Jury.
+func (t *Tracker) TakeShorts() []Shorts {
+	if len(t.shorts) == 0 {
+		return nil
+	}
+	var seen []Shorts
+	for id, n := range t.shorts {
+		seen = append(seen, Shorts{ID: id, Count: n})
+	}
+	clear(t.shorts)
+	return seen
+}
+
+// Avoid carries out a verdict of a Jury.
+func (t *Tracker) Avoid(now time.Duration, v Avoid) {
+	s := t.server(v.ID)
+	s.erringTo = max(s.erringTo, now+v.For)
 }
 
 // maxAnswer is above any answer; a larger difference of two acknowledgements is the
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -14,6 +14,11 @@
 //	i := t.Pick(now, zone, candidates, key, avoid)  // choose for a new flow
 //	t.Expire(now)                                   // about once a second
 //
+// Instances that are many share what they see of errors:
+//
+//	verdicts := jury.Hear(now, servers, t.TakeShorts())
+//	t.Avoid(now, verdict)
+//
 // A Tracker belongs to one goroutine. Times are readings of one monotonic clock.
 package load
 
@@ -83,13 +88,18 @@
 type Tracker struct {
 	// Answered, if set, is told how long each request took.
 	Answered func(took time.Duration)
+	// Avoided, if set, is told of each backend server that is avoided from now on
+	// for its short answers.
+	Avoided func(Avoid)
 
 	servers map[uint64]*server
 	flows   map[uint64]*record
 	routes  map[netip.AddrPort]*routeAnswers
+	shorts  map[uint64]int // short answers by backend server, not yet told of
 }
 
 type server struct {
+	id        uint64
 	busy      int
 	flows     int
 	missed    int           // opening packets without an answer, in a row
@@ -279,7 +289,7 @@
 		if t.servers == nil {
 			t.servers = map[uint64]*server{}
 		}
-		s = &server{}
+		s = &server{id: id}
 		t.servers[id] = s
 	}
 	return s
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -140,6 +140,17 @@
 // Len returns the number of backend servers, gone ones included.
 func (r *Roster) Len() int { return len(r.servers) }
 
+// Count returns the number of backend servers in a phase.
+func (r *Roster) Count(phase Phase) int {
+	n := 0
+	for _, e := range r.servers {
+		if e.server.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
 // All returns the records in the order of their identifiers.
 func (r *Roster) All() iter.Seq[Server] {
 	return func(yield func(Server) bool) {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -24,6 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/config"
+	"boragepost/core/load"
 	"boragepost/core/roster"
 	"boragepost/io/links"
 	"boragepost/io/proto"
@@ -33,7 +34,7 @@
 // one is likely to live and to have replicas when some are lost together.
 const neighbours = 4
 
-type conn = links.Conn[proto.Update, proto.Subscribe]
+type conn = links.Conn[proto.Update, proto.ToFeed]
 
 // Hub feeds its subscribers. The zero value has nothing to tell.
 type Hub struct {
@@ -42,6 +43,8 @@
 	// Digest returns the digest of those records. A subscriber that has it gets
 	// only what changes from then on.
 	Digest func() uint64
+	// Reported, if set, is told of the short answers that subscribers have seen.
+	Reported func([]load.Shorts)
 	// Log, if set, is told of subscribers that come and go.
 	Log *logrus.Entry
 
@@ -131,6 +134,13 @@
 	return e
 }
 
+// Avoid tells the subscribers of verdicts on backend servers.
+func (h *Hub) Avoid(verdicts []load.Avoid) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tell(proto.Update{Avoid: verdicts})
+}
+
 // SetReplicas tells the subscribers where the control replicas are.
 func (h *Hub) SetReplicas(addresses []string) {
 	h.mu.Lock()
@@ -168,10 +178,11 @@
 
 // serve feeds one subscriber until its link ends.
 func (h *Hub) serve(c *conn) {
-	hello, ok := <-c.Messages()
-	if !ok {
+	first, ok := <-c.Messages()
+	if !ok || first.Subscribe == nil {
 		return
 	}
+	hello := *first.Subscribe
 	s := &subscriber{conn: c, address: hello.Address, zone: hello.Zone}
 	h.join(s, hello.Version)
 	if hello.Digest == 0 || hello.Digest != h.Digest() {
@@ -179,8 +190,10 @@
 		c.SendEncoded(h.everything())
 	}
 	h.note("instanceLinked", hello)
-	for range c.Messages() {
-		// Subscribers send nothing else.
+	for m := range c.Messages() {
+		if len(m.Shorts) > 0 && h.Reported != nil {
+			h.Reported(m.Shorts)
+		}
 	}
 	h.leave(s)
 	h.note("instanceUnlinked", hello)
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -200,4 +200,5 @@
 	r.counters.elections.Inc()
 	r.log.WithField("leader", leader).WithField("term", term).WithField("formerLeader", r.leader).Info("leaderChanged")
 	r.leader, r.leaderTerm = leader, term
+	r.outliers.leader.Store(&leader)
 }
--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -58,14 +58,13 @@
 	r.post(r.ctx, func() { r.cfg.Seeds = seeds })
 }
 
-// send sends a message to a replica. Messages that cannot be sent are lost.
-func (m *mesh) send(id string, message proto.ToPlane) {
+// send sends a message to a replica. It reports false for one that cannot be sent,
+// which is lost.
+func (m *mesh) send(id string, message proto.ToPlane) bool {
 	m.mu.Lock()
 	l := m.links[quorum.AddressOf(id)]
 	m.mu.Unlock()
-	if l != nil {
-		l.client.Send(message)
-	}
+	return l != nil && l.client.Send(message)
 }
 
 // broadcast sends a message to every replica that is known.
@@ -114,6 +113,10 @@
 		r.registry.onAlive(*m.Alive)
 	case m.Confirmed != nil:
 		r.registry.onConfirmed(*m.Confirmed)
+	case len(m.Shorts) > 0:
+		r.outliers.hear(m.Shorts)
+	case len(m.Avoid) > 0:
+		r.registry.hub.Avoid(m.Avoid)
 	}
 	return true
 }
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -111,6 +111,7 @@
 	held     config.Held // of the loop
 	current  atomic.Pointer[config.Configuration]
 	registry registry
+	outliers outliers
 	mesh     mesh
 	counters *counters
 	posts    chan func()
@@ -193,6 +194,7 @@
 	r.counters = newCounters(r)
 	r.mesh.init(r)
 	r.registry.init(r)
+	r.outliers.r = r
 	return r, nil
 }
 
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -49,6 +49,7 @@
 func (g *registry) init(r *Replica) {
 	g.r = r
 	g.hub.All, g.hub.Digest, g.hub.Log = g.all, g.digest, r.log
+	g.hub.Reported = r.outliers.report
 	g.hub.Configure(r.held.Configuration)
 	g.waiting = map[uint64]*confirmation{}
 	g.settled = map[uint64]uint64{}
@@ -234,6 +235,13 @@
 	return g.roster.Digest()
 }
 
+// count returns the number of backend servers in a phase.
+func (g *registry) count(phase roster.Phase) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Count(phase)
+}
+
 // setVoters sets how many replicas vote, a majority of which has to know that a
 // backend server leaves.
 func (g *registry) setVoters(n int) {
@@ -257,6 +265,7 @@
 }
 
 func (g *registry) tick() {
+	g.r.outliers.expire(g.r.now())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roster.Forget(g.r.now())
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"boragepost/core/config"
+	"boragepost/core/load"
 	"boragepost/core/quorum"
 	"boragepost/core/roster"
 )
@@ -33,6 +34,10 @@
 	Offer *config.Configuration `cbor:"7,keyasint,omitempty"`
 	Read  *Read                 `cbor:"8,keyasint,omitempty"`
 	Proof *Proof                `cbor:"9,keyasint,omitempty"`
+	// Shorts are short answers that an entry instance has seen, for the leader, and
+	// Avoid its verdicts, for the entry instances of all replicas.
+	Shorts []load.Shorts `cbor:"10,keyasint,omitempty"`
+	Avoid  []load.Avoid  `cbor:"11,keyasint,omitempty"`
 }
 
 // Roster is records of backend servers that changed. A receiver answers a Serial
@@ -69,6 +74,13 @@
 	Index uint64 `cbor:"2,keyasint"`
 }
 
+// ToFeed is a message of an entry instance to whoever feeds it.
+type ToFeed struct {
+	Subscribe *Subscribe `cbor:"1,keyasint,omitempty"`
+	// Shorts are short answers that the instance has seen.
+	Shorts []load.Shorts `cbor:"2,keyasint,omitempty"`
+}
+
 // Subscribe opens a link of an entry instance.
 type Subscribe struct {
 	Instance string `cbor:"1,keyasint"`
@@ -94,4 +106,6 @@
 	// Neighbours are the addresses of a few other entry instances, if they
 	// changed.
 	Neighbours []string `cbor:"5,keyasint,omitempty"`
+	// Avoid are verdicts on backend servers.
+	Avoid []load.Avoid `cbor:"6,keyasint,omitempty"`
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -32,6 +32,7 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/flow"
+	"boragepost/core/load"
 	"boragepost/core/roster"
 	"boragepost/io/feed"
 	"boragepost/io/links"
@@ -121,6 +122,7 @@
 	}
 	r.balancer.Zone = cfg.Zone
 	r.balancer.Load.Answered = func(took time.Duration) { r.counters.answerSeconds.Observe(took.Seconds()) }
+	r.balancer.Load.Avoided = func(v load.Avoid) { r.trace.avoided("answers", v) }
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if err := r.feedOthers(); err != nil {
 		r.cancel()
@@ -218,7 +220,11 @@
 			r.balancer.Load.Expire(now, r.idleTimeout())
 			r.balancer.Forget(now)
 		}
+		shorts := r.balancer.Load.TakeShorts()
 		r.mu.Unlock()
+		if len(shorts) > 0 {
+			r.upstream.report(shorts)
+		}
 	}
 }
 
--- a/io/relay/trace.go
+++ b/io/relay/trace.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/flow"
+	"boragepost/core/load"
 	"boragepost/core/roster"
 	"boragepost/io/logs"
 )
@@ -130,3 +131,10 @@
 		t.r.log.WithFields(logs.Server(s)).WithField("replica", replica).Info("serverChanged")
 	}
 }
+
+// avoided notes a verdict on a backend server, of a replica or from the answers that
+// this instance has seen.
+func (t *trace) avoided(source string, v load.Avoid) {
+	t.r.log.WithFields(logrus.Fields{
+		"server": logs.ServerName(v.ID), "for": v.For, "source": source}).Info("serverAvoided")
+}
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/config"
+	"boragepost/core/load"
 	"boragepost/io/links"
 	"boragepost/io/proto"
 	"boragepost/io/timer"
@@ -32,7 +33,7 @@
 	wholeTimeout = 3 * proto.LinkHeartbeat
 )
 
-type replicaConn = links.Conn[proto.Subscribe, proto.Update]
+type replicaConn = links.Conn[proto.ToFeed, proto.Update]
 
 // upstream keeps links to a few of the control replicas that are known and, while
 // none of them is of use, to another entry instance.
@@ -56,7 +57,7 @@
 // replicaLink is one followed replica, or the entry instance in its place.
 type replicaLink struct {
 	address   string
-	client    *links.Client[proto.Subscribe, proto.Update]
+	client    *links.Client[proto.ToFeed, proto.Update]
 	close     context.CancelFunc
 	up        bool
 	contact   bool
@@ -182,7 +183,7 @@
 	l := &replicaLink{address: address, uselessAt: u.r.now()}
 	ctx, cancel := context.WithCancel(u.r.ctx)
 	l.close = cancel
-	l.client = links.NewClient(ctx, address, proto.RelayPath, links.Options[proto.Subscribe, proto.Update]{
+	l.client = links.NewClient(ctx, address, proto.RelayPath, links.Options[proto.ToFeed, proto.Update]{
 		Heartbeat: proto.LinkHeartbeat,
 		Meter:     &u.r.counters.meter,
 		Opened:    func(c *replicaConn) { u.opened(l, c) },
@@ -212,8 +213,8 @@
 	u.mu.Lock()
 	l.config, l.uselessAt = held, u.r.now()
 	u.mu.Unlock()
-	c.Send(proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Version: held.Version,
-		Address: u.r.cfg.Link.String(), Digest: digest})
+	c.Send(proto.ToFeed{Subscribe: &proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone,
+		Version: held.Version, Address: u.r.cfg.Link.String(), Digest: digest}})
 	u.r.log.WithField("replica", l.address).WithField("version", held.Version).Info("replicaFollowed")
 }
 
@@ -262,6 +263,17 @@
 	}
 }
 
+// report tells one replica of the short answers that were seen.
+func (u *upstream) report(seen []load.Shorts) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, l := range u.links {
+		if l.up && l.contact && l.client.Send(proto.ToFeed{Shorts: seen}) {
+			return
+		}
+	}
+}
+
 func (u *upstream) received(l *replicaLink, m proto.Update) {
 	u.note(l, m)
 	u.r.learn(l, m)
@@ -296,6 +308,10 @@
 		r.trace.learned(l.address, changed)
 		r.hub.Push(changed)
 	}
+	for _, v := range m.Avoid {
+		r.balancer.Load.Avoid(now, v)
+		r.trace.avoided(l.address, v)
+	}
 	_, configured := r.balancer.Config()
 	if configured && int64(now) < r.upstream.syncedAt.Load() {
 		r.upstream.syncedAt.Store(int64(now))
