--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -40,6 +40,12 @@
 }
 
 func startReplica() *replica {
+	r := newReplica()
+	DeferCleanup(r.stop)
+	return r
+}
+
+func newReplica() *replica {
 	r := &replica{}
 	r.hub.All = func() []roster.Server {
 		r.mu.Lock()
@@ -62,7 +68,6 @@
 	mux := http.NewServeMux()
 	mux.Handle(proto.RelayPath, r.hub.Handler(ctx, &links.Meter{}))
 	r.server = httptest.NewServer(mux)
-	DeferCleanup(r.stop)
 	return r
 }
 
