--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -36,11 +36,11 @@
 	// chance is how unlikely a row of short answers must be, if all backend servers
 	// of the route were alike, for the backend server to be avoided.
 	chance = 0.001
-	// erring is how long a backend server is avoided for short answers. It is
+	// minEjection is how long a backend server is avoided for short answers. It is
 	// several times what it takes to see a few answers of it; it doubles up to
-	// maxErring while the first answer after it is short too.
-	erring    = 2 * time.Second
-	maxErring = 16 * time.Second
+	// maxEjection while the first answer after it is short too.
+	minEjection = 2 * time.Second
+	maxEjection = 16 * time.Second
 	// routeMemory is how long a route without answers is remembered.
 	routeMemory = 10 * time.Minute
 )
@@ -88,9 +88,9 @@
 	return math.Pow(max(a.rate, minRate), float64(row)) < chance
 }
 
-// judge takes in the size of an answer that a backend server has sent on a route.
+// observeAnswer takes in the size of an answer that a backend server has sent on a route.
 // Without any bytes there was no answer, which says nothing here.
-func (t *Tracker) judge(now time.Duration, s *server, p Packet, bytes uint32) {
+func (t *Tracker) observeAnswer(now time.Duration, s *server, p Packet, bytes uint32) {
 	if bytes == 0 || bytes > maxAnswer {
 		return
 	}
@@ -104,29 +104,29 @@
 	}
 	a.seen = now
 	short := a.isShort(float64(bytes))
-	if now >= s.erringTo {
+	if now >= s.ejectedTo {
 		a.note(short)
 	}
 	if !short {
 		s.shortRow = 0
-		s.erring /= 2
+		s.ejection /= 2
 		return
 	}
 	s.shortRow++
 	if a.rate < maxRate {
-		t.tell(s.id)
+		t.countShort(s.id)
 	}
-	if now >= s.erringTo && a.isOutlier(s.shortRow) {
-		s.erring = min(max(2*s.erring, erring), maxErring)
-		s.erringTo = now + s.erring
-		if t.Avoided != nil {
-			t.Avoided(Avoid{ID: s.id, For: s.erring})
+	if now >= s.ejectedTo && a.isOutlier(s.shortRow) {
+		s.ejection = min(max(2*s.ejection, minEjection), maxEjection)
+		s.ejectedTo = now + s.ejection
+		if t.Ejected != nil {
+			t.Ejected(Ejection{ID: s.id, For: s.ejection})
 		}
 	}
 }
 
-// tell notes a short answer for TakeShorts.
-func (t *Tracker) tell(id uint64) {
+// countShort notes a short answer for TakeShorts.
+func (t *Tracker) countShort(id uint64) {
 	if t.shorts == nil {
 		t.shorts = map[uint64]int{}
 	}
@@ -134,7 +134,7 @@
 }
 
 // TakeShorts returns the short answers that were seen since its last call, for a
-// Jury.
+// Outliers.
 func (t *Tracker) TakeShorts() []Shorts {
 	if len(t.shorts) == 0 {
 		return nil
@@ -147,10 +147,10 @@
 	return seen
 }
 
-// Avoid carries out a verdict of a Jury.
-func (t *Tracker) Avoid(now time.Duration, v Avoid) {
-	s := t.server(v.ID)
-	s.erringTo = max(s.erringTo, now+v.For)
+// Eject carries out an ejection that was decided elsewhere.
+func (t *Tracker) Eject(now time.Duration, e Ejection) {
+	s := t.server(e.ID)
+	s.ejectedTo = max(s.ejectedTo, now+e.For)
 }
 
 // maxAnswer is above any answer; a larger difference of two acknowledgements is the
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -14,10 +14,10 @@
 //	i := t.Pick(now, zone, candidates, key, avoid)  // choose for a new flow
 //	t.Expire(now)                                   // about once a second
 //
-// Instances that are many share what they see of errors:
+// In a fleet the instances share what they see of errors:
 //
-//	verdicts := jury.Hear(now, servers, t.TakeShorts())
-//	t.Avoid(now, verdict)
+//	ejections := outliers.Report(now, servers, t.TakeShorts())
+//	t.Eject(now, ejection)
 //
 // A Tracker belongs to one goroutine. Times are readings of one monotonic clock.
 package load
@@ -60,9 +60,9 @@
 	// not exclude it: a wrong signal must not empty a service.
 	silentCost  = 100
 	suspectCost = 50
-	// erringCost makes a caller wait for three rounds of work rather than get an
+	// ejectedCost makes a caller wait for three rounds of work rather than get an
 	// error. It is no more than that, so that what is left is not overloaded.
-	erringCost = 3
+	ejectedCost = 3
 )
 
 // Candidate is a backend server that may take a flow.
@@ -88,9 +88,9 @@
 type Tracker struct {
 	// Answered, if set, is told how long each request took.
 	Answered func(took time.Duration)
-	// Avoided, if set, is told of each backend server that is avoided from now on
+	// Ejected, if set, is told of each backend server that is avoided from now on
 	// for its short answers.
-	Avoided func(Avoid)
+	Ejected func(Ejection)
 
 	servers map[uint64]*server
 	flows   map[uint64]*record
@@ -106,8 +106,8 @@
 	suspectTo time.Duration // avoided until then
 	penalty   time.Duration // length of the latest suspicion
 	shortRow  int           // short answers in a row
-	erringTo  time.Duration // avoided for them until then
-	erring    time.Duration // how long the latest time
+	ejectedTo time.Duration // avoided for them until then
+	ejection  time.Duration // how long the latest time
 }
 
 type state uint8
@@ -187,7 +187,7 @@
 		r.since = now
 	}
 	if r.state == idle && p.Data {
-		t.judge(now, t.server(id), p, p.Ack-r.base)
+		t.observeAnswer(now, t.server(id), p, p.Ack-r.base)
 		t.server(id).busy++
 		r.state, r.base, r.since = busy, p.Ack, now
 	}
@@ -198,7 +198,7 @@
 func (t *Tracker) finish(now time.Duration, key uint64, r *record, p Packet) {
 	t.answered(r)
 	if r.state != opening {
-		t.judge(now, t.server(r.server), p, p.Ack-r.base)
+		t.observeAnswer(now, t.server(r.server), p, p.Ack-r.base)
 	}
 	t.end(key, r)
 }
@@ -237,8 +237,8 @@
 		if now < s.suspectTo {
 			cost += suspectCost
 		}
-		if now < s.erringTo {
-			cost += erringCost
+		if now < s.ejectedTo {
+			cost += ejectedCost
 		}
 	}
 	if c.Zone != zone {
@@ -277,7 +277,7 @@
 	}
 	maps.DeleteFunc(t.routes, func(_ netip.AddrPort, a *routeAnswers) bool { return now-a.seen > routeMemory })
 	for id, s := range t.servers {
-		if s.flows == 0 && s.missed == 0 && now >= s.erringTo+maxErring {
+		if s.flows == 0 && s.missed == 0 && now >= s.ejectedTo+maxEjection {
 			delete(t.servers, id)
 		}
 	}
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -143,7 +143,7 @@
 		Expect(pick(2*time.Second, here[:1])).To(Equal(uint64(1)))
 	})
 
-	It("takes no offence where answers vary in size", func() {
+	It("ejects nobody where answers vary in size", func() {
 		for key := range uint64(400) {
 			exchange(0, key, 1+key%2, 4000*uint32(1-key/2%2)+500)
 		}
@@ -167,32 +167,32 @@
 	})
 })
 
-var _ = Describe("a jury", func() {
+var _ = Describe("shared outlier detection", func() {
 	const ms = time.Millisecond
 	one := func(id uint64) []load.Shorts { return []load.Shorts{{ID: id, Count: 1}} }
 
-	It("convicts what several instances have seen to fail, each time for longer", func() {
-		var j load.Jury
-		Expect(j.Hear(0, 40, one(7))).To(BeEmpty())
-		Expect(j.Hear(100*ms, 40, one(7))).To(BeEmpty())
-		Expect(j.Hear(150*ms, 40, one(7))).To(BeEmpty())
-		Expect(j.Hear(200*ms, 40, one(7))).To(Equal([]load.Avoid{{ID: 7, For: 2 * time.Second}}))
-		Expect(j.Hear(300*ms, 40, one(7))).To(BeEmpty(), "it is avoided")
-		again := j.Hear(2300*ms, 40, []load.Shorts{{ID: 7, Count: 4}})
-		Expect(again).To(Equal([]load.Avoid{{ID: 7, For: 4 * time.Second}}))
+	It("ejects what several instances have seen to fail, each time for longer", func() {
+		var j load.Outliers
+		Expect(j.Report(0, 40, one(7))).To(BeEmpty())
+		Expect(j.Report(100*ms, 40, one(7))).To(BeEmpty())
+		Expect(j.Report(150*ms, 40, one(7))).To(BeEmpty())
+		Expect(j.Report(200*ms, 40, one(7))).To(Equal([]load.Ejection{{ID: 7, For: 2 * time.Second}}))
+		Expect(j.Report(300*ms, 40, one(7))).To(BeEmpty(), "it is avoided")
+		again := j.Report(2300*ms, 40, []load.Shorts{{ID: 7, Count: 4}})
+		Expect(again).To(Equal([]load.Ejection{{ID: 7, For: 4 * time.Second}}))
 	})
 
-	It("convicts nobody for what happens now and then", func() {
-		var j load.Jury
+	It("ejects nobody for what happens now and then", func() {
+		var j load.Outliers
 		for i := range 50 {
-			Expect(j.Hear(time.Duration(i)*time.Second, 40, one(7))).To(BeEmpty())
+			Expect(j.Report(time.Duration(i)*time.Second, 40, one(7))).To(BeEmpty())
 		}
 	})
 
-	It("convicts nobody when all fail alike", func() {
-		var j load.Jury
+	It("ejects nobody when all fail alike", func() {
+		var j load.Outliers
 		for i := range 400 {
-			Expect(j.Hear(time.Duration(i)*10*ms, 20, one(uint64(i%20)))).To(BeEmpty())
+			Expect(j.Report(time.Duration(i)*10*ms, 20, one(uint64(i%20)))).To(BeEmpty())
 		}
 	})
 })
--- a/core/load/policy_test.go
+++ b/core/load/policy_test.go
@@ -79,7 +79,7 @@
 type policy struct {
 	name string
 	pick func(p *play, instance int, key uint64, avoid int) int
-	// shared makes the instances tell a jury of short answers.
+	// shared makes the instances tell shared outlier detection of short answers.
 	shared bool
 }
 
@@ -99,7 +99,7 @@
 		return a
 	}},
 	{name: "tracker", pick: pickByTracker},
-	{name: "withJury", pick: pickByTracker, shared: true},
+	{name: "shared", pick: pickByTracker, shared: true},
 	// What an instance could do that knew what all others have in flight.
 	{name: "allKnowing", pick: func(p *play, instance int, _ uint64, avoid int) int {
 		best, bestCost := 0, math.Inf(1)
@@ -233,18 +233,18 @@
 	return p.outcome
 }
 
-// share lets each instance tell the jury ten times a second what it has seen, and all
-// instances hear its verdicts a few trips later.
+// share lets each instance tell the outliers ten times a second what it has seen, and all
+// instances hear its ejections a few trips later.
 func (p *play) share() {
-	var jury load.Jury
+	var outliers load.Outliers
 	for t := shareInterval; t < sceneTime; t += shareInterval {
 		p.at(t, func() {
 			for _, tracker := range p.trackers {
-				verdicts := jury.Hear(p.now, len(p.servers), tracker.TakeShorts())
+				ejections := outliers.Report(p.now, len(p.servers), tracker.TakeShorts())
 				p.at(p.now+4*crossTrip, func() {
-					for _, v := range verdicts {
+					for _, v := range ejections {
 						for _, other := range p.trackers {
-							other.Avoid(p.now, v)
+							other.Eject(p.now, v)
 						}
 					}
 				})
@@ -413,7 +413,7 @@
 	}
 	for name, of := range shares {
 		for _, simple := range []string{"random", "randomInZone", "twoChoices", "tracker"} {
-			g.Expect(of["withJury"]).To(BeNumerically(">=", of[simple]-sameShare), "%s: %s", name, simple)
+			g.Expect(of["shared"]).To(BeNumerically(">=", of[simple]-sameShare), "%s: %s", name, simple)
 		}
 	}
 	want, err := os.ReadFile(path)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -36,7 +36,8 @@
 
 type conn = links.Conn[proto.Update, proto.ToFeed]
 
-// Hub feeds its subscribers. The zero value has nothing to tell.
+// Hub feeds its subscribers. It needs All and Digest; otherwise the zero value has
+// nothing to tell.
 type Hub struct {
 	// All returns every record of a backend server.
 	All func() []roster.Server
@@ -134,11 +135,11 @@
 	return e
 }
 
-// Avoid tells the subscribers of verdicts on backend servers.
-func (h *Hub) Avoid(verdicts []load.Avoid) {
+// Eject tells the subscribers which backend servers to avoid.
+func (h *Hub) Eject(ejections []load.Ejection) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tell(proto.Update{Avoid: verdicts})
+	h.tell(proto.Update{Ejections: ejections})
 }
 
 // SetReplicas tells the subscribers where the control replicas are.
--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -114,9 +114,9 @@
 	case m.Confirmed != nil:
 		r.registry.onConfirmed(*m.Confirmed)
 	case len(m.Shorts) > 0:
-		r.outliers.hear(m.Shorts)
-	case len(m.Avoid) > 0:
-		r.registry.hub.Avoid(m.Avoid)
+		r.outliers.decide(m.Shorts)
+	case len(m.Ejections) > 0:
+		r.registry.hub.Eject(m.Ejections)
 	}
 	return true
 }
--- a/io/plane/outliers_test.go
+++ b/io/plane/outliers_test.go
@@ -14,12 +14,12 @@
 
 // follower is an entry instance that only hears what replicas tell it.
 type follower struct {
-	client   *links.Client[proto.ToFeed, proto.Update]
-	verdicts chan load.Avoid
+	client    *links.Client[proto.ToFeed, proto.Update]
+	ejections chan load.Ejection
 }
 
 func follow(replica netip.AddrPort) *follower {
-	f := &follower{verdicts: make(chan load.Avoid, 100)}
+	f := &follower{ejections: make(chan load.Ejection, 100)}
 	opened := make(chan bool, 1)
 	f.client = links.NewClient(within(time.Minute), replica.String(), proto.RelayPath,
 		links.Options[proto.ToFeed, proto.Update]{
@@ -29,8 +29,8 @@
 				opened <- true
 			},
 			Received: func(m proto.Update) {
-				for _, v := range m.Avoid {
-					f.verdicts <- v
+				for _, v := range m.Ejections {
+					f.ejections <- v
 				}
 			},
 		})
@@ -64,7 +64,7 @@
 			f.client.Send(proto.ToFeed{Shorts: []load.Shorts{{ID: 7, Count: 1}}})
 		}
 		for _, f := range followers {
-			Eventually(f.verdicts, patience).Should(Receive(HaveField("ID", uint64(7))))
+			Eventually(f.ejections, patience).Should(Receive(HaveField("ID", uint64(7))))
 		}
 	})
 
@@ -79,7 +79,7 @@
 		f := follow(s.seeds[2])
 		Eventually(func() bool {
 			f.client.Send(proto.ToFeed{Shorts: []load.Shorts{{ID: 7, Count: 5}}})
-			return len(f.verdicts) > 0
+			return len(f.ejections) > 0
 		}, patience, "100ms").Should(BeTrue())
 	})
 })
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -122,7 +122,7 @@
 	}
 	r.balancer.Zone = cfg.Zone
 	r.balancer.Load.Answered = func(took time.Duration) { r.counters.answerSeconds.Observe(took.Seconds()) }
-	r.balancer.Load.Avoided = func(v load.Avoid) { r.trace.avoided("answers", v) }
+	r.balancer.Load.Ejected = func(e load.Ejection) { r.trace.ejected("answers", e) }
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if err := r.feedOthers(); err != nil {
 		r.cancel()
--- a/io/relay/trace.go
+++ b/io/relay/trace.go
@@ -132,9 +132,9 @@
 	}
 }
 
-// avoided notes a verdict on a backend server, of a replica or from the answers that
+// ejected notes an ejection, decided by a replica or from the answers that
 // this instance has seen.
-func (t *trace) avoided(source string, v load.Avoid) {
+func (t *trace) ejected(source string, e load.Ejection) {
 	t.r.log.WithFields(logrus.Fields{
-		"server": logs.ServerName(v.ID), "for": v.For, "source": source}).Info("serverAvoided")
+		"server": logs.ServerName(e.ID), "for": e.For, "source": source}).Info("serverEjected")
 }
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -308,9 +308,9 @@
 		r.trace.learned(l.address, changed)
 		r.hub.Push(changed)
 	}
-	for _, v := range m.Avoid {
-		r.balancer.Load.Avoid(now, v)
-		r.trace.avoided(l.address, v)
+	for _, e := range m.Ejections {
+		r.balancer.Load.Eject(now, e)
+		r.trace.ejected(l.address, e)
 	}
 	_, configured := r.balancer.Config()
 	if configured && int64(now) < r.upstream.syncedAt.Load() {
