--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -36,6 +36,48 @@
 	Proof *Proof                `cbor:"9,keyasint,omitempty"`
 	// Shorts are short answers that an entry instance has seen, for the leader.
 	// Ejections are what it decided, for the entry instances of all replicas.
+	Shorts    []load.Shorts   `cbor:"10,keyasint,omitempty"`
+	Ejections []load.Ejection `cbor:"11,keyasint,omitempty"`
+}
+
+// Roster is records of backend servers that changed. A receiver answers a Serial
+// other than 0 with Confirmed once it has them.
+type Roster struct {
+	From    string          `cbor:"1,keyasint"`
+	Serial  uint64          `cbor:"2,keyasint,omitempty"`
+	Servers []roster.Server `cbor:"3,keyasint,omitempty"`
+}
+
+// Alive is the backend servers that the sender has heard lately, and a digest of
+// its roster. A receiver with another digest sends its own records.
+type Alive struct {
+	From   string        `cbor:"1,keyasint"`
+	Signs  []roster.Sign `cbor:"2,keyasint,omitempty"`
+	Digest uint64        `cbor:"3,keyasint,omitempty"`
+}
+
+// Confirmed says that the records of a serial have been taken in.
+type Confirmed struct {
+	By     string `cbor:"1,keyasint"`
+	Serial uint64 `cbor:"2,keyasint"`
+}
+
+// Read asks the leader which index is the newest.
+type Read struct {
+	From string `cbor:"1,keyasint"`
+	ID   uint64 `cbor:"2,keyasint"`
+}
+
+// Proof answers a Read: no entry after Index was committed when it was asked.
+type Proof struct {
+	ID    uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+// ToFeed is a message of an entry instance to whoever feeds it.
+type ToFeed struct {
+	Subscribe *Subscribe `cbor:"1,keyasint,omitempty"`
+	// Shorts are short answers that the instance has seen.
 	Shorts []load.Shorts `cbor:"2,keyasint,omitempty"`
 }
 
