Report short answers in a fixed order

Ruled out: chance in the load itself (its random numbers are seeded and its events ordered).

Change: the order of identifiers.

--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -133,15 +134,15 @@
 	t.shorts[id]++
 }
 
-// TakeShorts returns the short answers that were seen since its last call, for a
-// Outliers.
+// TakeShorts returns the short answers that were seen since its last call, in the
+// order of the backend servers' identifiers, for Outliers.
 func (t *Tracker) TakeShorts() []Shorts {
 	if len(t.shorts) == 0 {
 		return nil
 	}
 	var seen []Shorts
-	for id, n := range t.shorts {
-		seen = append(seen, Shorts{ID: id, Count: n})
+	for _, id := range slices.Sorted(maps.Keys(t.shorts)) {
+		seen = append(seen, Shorts{ID: id, Count: t.shorts[id]})
 	}
 	clear(t.shorts)
 	return seen
