Report requests that are stuck

Cause: backend servers that hang, or reset what they get, send no short answers. An instance avoids them only by what it has in flight there itself, and each of 71 instances learns that alone.

Ruled out: a fixed time alone; work that always takes long would count as stuck.

Change: a request without a byte of answer after ten times the usual time of its route, and 0.7 s, is reported once, like a short answer. Time in which the instance stood still does not count.

--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -42,6 +42,16 @@
 	// maxEjection while the first answer after it is short too.
 	minEjection = 2 * time.Second
 	maxEjection = 16 * time.Second
+	// A request is stuck when its first bytes of answer take stuckTimes as long as
+	// usual on the route, and longer than minStuck, within which a lost packet of it
+	// is sent again twice.
+	stuckTimes = 10
+	minStuck   = 700 * time.Millisecond
+	// timeGain is the weight of the latest answer in the usual time.
+	timeGain = 1.0 / 32
+	// maxScanGap is the time between two looks for stuck requests above which the
+	// process has stood still, and the requests with it.
+	maxScanGap = 400 * time.Millisecond
 	// routeMemory is how long a route without answers is remembered.
 	routeMemory = 10 * time.Minute
 )
@@ -53,7 +63,8 @@
 	// far.
 	sizes [answersKept]float64
 	count int
-	rate  float64 // share of short answers from backend servers that are not avoided
+	rate  float64       // share of short answers from backend servers that are not avoided
+	took  time.Duration // usual time to the first bytes of an answer
 }
 
 // isShort takes in the size of an answer and reports whether it is short.
@@ -95,14 +106,7 @@
 	if bytes == 0 || bytes > maxAnswer {
 		return
 	}
-	if t.routes == nil {
-		t.routes = map[netip.AddrPort]*routeAnswers{}
-	}
-	a := t.routes[p.Route]
-	if a == nil {
-		a = &routeAnswers{}
-		t.routes[p.Route] = a
-	}
+	a := t.route(p.Route)
 	a.seen = now
 	short := a.isShort(float64(bytes))
 	if now >= s.ejectedTo {
@@ -126,6 +130,51 @@
 	}
 }
 
+// route returns what is known of the answers of a route.
+func (t *Tracker) route(route netip.AddrPort) *routeAnswers {
+	if t.routes == nil {
+		t.routes = map[netip.AddrPort]*routeAnswers{}
+	}
+	a := t.routes[route]
+	if a == nil {
+		a = &routeAnswers{}
+		t.routes[route] = a
+	}
+	return a
+}
+
+// observeTime takes in how long a request of a route has waited for its answer.
+func (t *Tracker) observeTime(took time.Duration, route netip.AddrPort) {
+	a := t.route(route)
+	if a.took == 0 {
+		a.took = took
+	}
+	a.took += time.Duration(timeGain * float64(took-a.took))
+	if t.Answered != nil {
+		t.Answered(took)
+	}
+}
+
+// NoteStuck notes the requests that are stuck, each once, for TakeShorts. It has to be
+// called every 100 ms or so. Callers of a backend server that hangs, or resets what
+// it gets, show nothing else.
+func (t *Tracker) NoteStuck(now time.Duration) {
+	gap := now - t.scannedAt
+	t.scannedAt = now
+	for _, r := range t.flows {
+		if r.state != busy || r.stuck {
+			continue
+		}
+		if gap > maxScanGap {
+			r.since += gap
+		}
+		if now-r.since > max(minStuck, stuckTimes*t.route(r.route).took) {
+			r.stuck = true
+			t.countShort(r.server)
+		}
+	}
+}
+
 // countShort notes a short answer for TakeShorts.
 func (t *Tracker) countShort(id uint64) {
 	if t.shorts == nil {
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -95,7 +95,10 @@
 	servers map[uint64]*server
 	flows   map[uint64]*record
 	routes  map[netip.AddrPort]*routeAnswers
-	shorts  map[uint64]int // short answers by backend server, not yet told of
+	// shorts counts short answers and stuck requests by backend server that others
+	// were not yet told of.
+	shorts    map[uint64]int
+	scannedAt time.Duration // when stuck requests were last looked for
 }
 
 type server struct {
@@ -125,6 +128,8 @@
 	base   uint32        // ack when the latest request began
 	since  time.Duration // when the state began
 	seen   time.Duration
+	route  netip.AddrPort
+	stuck  bool // the request was noted as stuck
 }
 
 // Open notes that a flow's opening packet went to a backend server.
@@ -181,17 +186,15 @@
 		r.state, r.ack, r.base, r.since = busy, p.Ack, p.Ack, now
 	case r.state == busy && p.Ack != r.ack:
 		t.release(r)
-		if t.Answered != nil {
-			t.Answered(now - r.since)
-		}
+		t.observeTime(now-r.since, p.Route)
 		r.since = now
 	}
 	if r.state == idle && p.Data {
 		t.observeAnswer(now, t.server(id), p, p.Ack-r.base)
 		t.server(id).busy++
-		r.state, r.base, r.since = busy, p.Ack, now
+		r.state, r.base, r.since, r.stuck = busy, p.Ack, now, false
 	}
-	r.ack = p.Ack
+	r.ack, r.route = p.Ack, p.Route
 }
 
 // finish ends a flow whose caller has ended it.
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -165,6 +165,32 @@
 		t.Observe(time.Second, 100, usual, load.Packet{Ack: 409, Finish: true})
 		Expect(pick(2*time.Second, here)).NotTo(Equal(usual))
 	})
+
+	It("reports a request that is stuck, once", func() {
+		for key := range uint64(20) {
+			exchange(0, key, 1, 4000)
+		}
+		t.TakeShorts()
+		begin := time.Second
+		t.NoteStuck(begin)
+		t.Observe(begin, 100, 1, load.Packet{Data: true, Ack: 9})
+		var reported []time.Duration
+		for now := begin; now < begin+2*time.Second; now += 100 * ms {
+			t.NoteStuck(now)
+			for range t.TakeShorts() {
+				reported = append(reported, now-begin)
+			}
+		}
+		Expect(reported).To(Equal([]time.Duration{800 * ms}))
+	})
+
+	It("does not take its own pause for a stuck request", func() {
+		t.NoteStuck(0)
+		t.Observe(0, 100, 1, load.Packet{Data: true, Ack: 9})
+		t.NoteStuck(100 * ms)
+		t.NoteStuck(5 * time.Second) // the process was frozen
+		Expect(t.TakeShorts()).To(BeEmpty())
+	})
 })
 
 var _ = Describe("shared outlier detection", func() {
--- a/core/load/policy_test.go
+++ b/core/load/policy_test.go
@@ -38,6 +38,8 @@
 	// an error, which takes no time.
 	failing    int
 	errorShare float64
+	// hangs makes them answer nothing instead.
+	hangs bool
 }
 
 // The work of a request, and what surrounds a backend server.
@@ -56,6 +58,8 @@
 	medianBytes = 3200
 	sizeSpread  = 0.55
 	errorBytes  = 220
+	// deadline is when a caller gives up a request.
+	deadline = 2500 * time.Millisecond
 )
 
 var scenes = []scene{
@@ -71,6 +75,7 @@
 	{name: "oneGrey", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, failing: 1, errorShare: 0.5},
 	{name: "allGrey", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 400, failing: 14, errorShare: 0.3},
 	{name: "fleetFails", instances: []int{24, 23, 24}, servers: []int{40, 40, 40}, slots: 2, perSecond: 1600, failing: 18, errorShare: 1},
+	{name: "fleetHangs", instances: []int{24, 23, 24}, servers: []int{40, 40, 40}, slots: 2, perSecond: 1600, failing: 18, errorShare: 1, hangs: true},
 }
 
 // policy places a request that arrives at an instance. It returns the index of a
@@ -240,6 +245,7 @@
 	for t := shareInterval; t < sceneTime; t += shareInterval {
 		p.at(t, func() {
 			for _, tracker := range p.trackers {
+				tracker.NoteStuck(p.now)
 				ejections := outliers.Report(p.now, len(p.servers), tracker.TakeShorts())
 				p.at(p.now+4*crossTrip, func() {
 					for _, v := range ejections {
@@ -303,6 +309,11 @@
 
 func (p *play) serve(s *simServer, r *simRequest) {
 	switch {
+	case p.scene.hangs && r.luck < s.errorShare:
+		p.at(r.sent+deadline, func() {
+			p.outcome.lost++
+			p.finish(r, 0)
+		})
 	case s.running < p.scene.slots:
 		p.work(s, r)
 	case len(s.waiting) < queue:
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -220,6 +220,7 @@
 			r.balancer.Load.Expire(now, r.idleTimeout())
 			r.balancer.Forget(now)
 		}
+		r.balancer.Load.NoteStuck(now)
 		shorts := r.balancer.Load.TakeShorts()
 		r.mu.Unlock()
 		if len(shorts) > 0 {
