--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -119,7 +119,7 @@
 	}
 	s.shortRow++
 	if a.rate < maxRate {
-		t.countShort(s.id)
+		t.countFailure(s.id)
 	}
 	if now >= s.ejectedTo && a.isOutlier(s.shortRow) {
 		s.ejection = min(max(2*s.ejection, minEjection), maxEjection)
@@ -144,8 +144,9 @@
 }
 
 // observeTime takes in how long a request of a route has waited for its answer.
-func (t *Tracker) observeTime(took time.Duration, route netip.AddrPort) {
+func (t *Tracker) observeTime(now, took time.Duration, route netip.AddrPort) {
 	a := t.route(route)
+	a.seen = now
 	if a.took == 0 {
 		a.took = took
 	}
@@ -155,7 +156,7 @@
 	}
 }
 
-// NoteStuck notes the requests that are stuck, each once, for TakeShorts. It has to be
+// NoteStuck notes the requests that are stuck, each once, for TakeFailures. It has to be
 // called every 100 ms or so. Callers of a backend server that hangs, or resets what
 // it gets, show nothing else.
 func (t *Tracker) NoteStuck(now time.Duration) {
@@ -168,32 +169,36 @@
 		if gap > maxScanGap {
 			r.since += gap
 		}
-		if now-r.since > max(minStuck, stuckTimes*t.route(r.route).took) {
+		usual := time.Duration(0)
+		if a := t.routes[r.route]; a != nil {
+			usual = a.took
+		}
+		if now-r.since > max(minStuck, stuckTimes*usual) {
 			r.stuck = true
-			t.countShort(r.server)
+			t.countFailure(r.server)
 		}
 	}
 }
 
-// countShort notes a short answer for TakeShorts.
-func (t *Tracker) countShort(id uint64) {
-	if t.shorts == nil {
-		t.shorts = map[uint64]int{}
+// countFailure notes a failed request for TakeFailures.
+func (t *Tracker) countFailure(id uint64) {
+	if t.failures == nil {
+		t.failures = map[uint64]int{}
 	}
-	t.shorts[id]++
+	t.failures[id]++
 }
 
-// TakeShorts returns the short answers that were seen since its last call, in the
+// TakeFailures returns the failed requests that were seen since its last call, in the
 // order of the backend servers' identifiers, for Outliers.
-func (t *Tracker) TakeShorts() []Shorts {
-	if len(t.shorts) == 0 {
+func (t *Tracker) TakeFailures() []Failures {
+	if len(t.failures) == 0 {
 		return nil
 	}
-	var seen []Shorts
-	for _, id := range slices.Sorted(maps.Keys(t.shorts)) {
-		seen = append(seen, Shorts{ID: id, Count: t.shorts[id]})
+	var seen []Failures
+	for _, id := range slices.Sorted(maps.Keys(t.failures)) {
+		seen = append(seen, Failures{ID: id, Count: t.failures[id]})
 	}
-	clear(t.shorts)
+	clear(t.failures)
 	return seen
 }
 
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -7,6 +7,11 @@
 // repeats its opening packet has had no answer: the backend server that got it
 // is avoided until another flow of it is answered.
 //
+// A request has failed, as far as an instance can tell, when its answer is far
+// shorter than usual on its route, or does not begin for far longer. Two short answers
+// in a row make an instance avoid a backend server by itself; Outliers decides the same
+// for a fleet, of which each instance sees too little.
+//
 // # Usage
 //
 //	t.Open(now, key, server)                        // placed an opening packet
@@ -16,7 +21,7 @@
 //
 // In a fleet the instances share what they see of errors:
 //
-//	ejections := outliers.Report(now, servers, t.TakeShorts())
+//	ejections := outliers.Report(now, servers, t.TakeFailures())
 //	t.Eject(now, ejection)
 //
 // A Tracker belongs to one goroutine. Times are readings of one monotonic clock.
@@ -95,9 +100,9 @@
 	servers map[uint64]*server
 	flows   map[uint64]*record
 	routes  map[netip.AddrPort]*routeAnswers
-	// shorts counts short answers and stuck requests by backend server that others
+	// failures counts short answers and stuck requests by backend server that others
 	// were not yet told of.
-	shorts    map[uint64]int
+	failures  map[uint64]int
 	scannedAt time.Duration // when stuck requests were last looked for
 }
 
@@ -186,7 +191,7 @@
 		r.state, r.ack, r.base, r.since = busy, p.Ack, p.Ack, now
 	case r.state == busy && p.Ack != r.ack:
 		t.release(r)
-		t.observeTime(now-r.since, p.Route)
+		t.observeTime(now, now-r.since, p.Route)
 		r.since = now
 	}
 	if r.state == idle && p.Data {
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -170,14 +170,14 @@
 		for key := range uint64(20) {
 			exchange(0, key, 1, 4000)
 		}
-		t.TakeShorts()
+		t.TakeFailures()
 		begin := time.Second
 		t.NoteStuck(begin)
 		t.Observe(begin, 100, 1, load.Packet{Data: true, Ack: 9})
 		var reported []time.Duration
 		for now := begin; now < begin+2*time.Second; now += 100 * ms {
 			t.NoteStuck(now)
-			for range t.TakeShorts() {
+			for range t.TakeFailures() {
 				reported = append(reported, now-begin)
 			}
 		}
@@ -189,13 +189,13 @@
 		t.Observe(0, 100, 1, load.Packet{Data: true, Ack: 9})
 		t.NoteStuck(100 * ms)
 		t.NoteStuck(5 * time.Second) // the process was frozen
-		Expect(t.TakeShorts()).To(BeEmpty())
+		Expect(t.TakeFailures()).To(BeEmpty())
 	})
 })
 
 var _ = Describe("shared outlier detection", func() {
 	const ms = time.Millisecond
-	one := func(id uint64) []load.Shorts { return []load.Shorts{{ID: id, Count: 1}} }
+	one := func(id uint64) []load.Failures { return []load.Failures{{ID: id, Count: 1}} }
 
 	It("ejects what several instances have seen to fail, each time for longer", func() {
 		var j load.Outliers
@@ -204,7 +204,7 @@
 		Expect(j.Report(150*ms, 40, one(7))).To(BeEmpty())
 		Expect(j.Report(200*ms, 40, one(7))).To(Equal([]load.Ejection{{ID: 7, For: 2 * time.Second}}))
 		Expect(j.Report(300*ms, 40, one(7))).To(BeEmpty(), "it is avoided")
-		again := j.Report(2300*ms, 40, []load.Shorts{{ID: 7, Count: 4}})
+		again := j.Report(2300*ms, 40, []load.Failures{{ID: 7, Count: 4}})
 		Expect(again).To(Equal([]load.Ejection{{ID: 7, For: 4 * time.Second}}))
 	})
 
--- a/core/load/outliers.go
+++ b/core/load/outliers.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Shorts counts the short answers of one backend server that an instance has seen
-// since it last told of them.
-type Shorts struct {
+// Failures counts the requests that one backend server has failed, as an instance has
+// seen since it last told of them.
+type Failures struct {
 	ID    uint64 `cbor:"1,keyasint"`
 	Count int    `cbor:"2,keyasint"`
 }
@@ -19,17 +19,17 @@
 }
 
 const (
-	// shortsHalfLife is the time after which a short answer counts half. A backend server of today's deployments gives some ten answers in it.
-	shortsHalfLife = time.Second
-	// minShorts is how many short answers eject a backend server: more than one
+	// failureHalfLife is the time after which a failed request counts half. A backend server of today's deployments gives some ten answers in it.
+	failureHalfLife = time.Second
+	// minFailures is how many failed requests eject a backend server: more than one
 	// that is full for a moment sends before its callers go elsewhere.
-	minShorts = 3
+	minFailures = 3
 	// outlierRatio is how many times the usual number it must be.
 	// Where many backend servers fail alike, avoiding some helps nobody.
 	outlierRatio = 3
 )
 
-// Outliers decides from the short answers that many instances have seen which backend
+// Outliers decides from the failed requests that many instances have seen which backend
 // servers are to be ejected. One instance of a fleet sees too few answers of each
 // backend server to tell soon. The zero value works.
 type Outliers struct {
@@ -37,16 +37,16 @@
 	total   decaying
 }
 
-// suspect is a backend server of which short answers were seen.
+// suspect is a backend server of which failed requests were seen.
 type suspect struct {
-	shorts    decaying
+	failures  decaying
 	ejectedTo time.Duration
 	length    time.Duration // of the latest ejection
 }
 
 // Report takes in what an instance has seen, and returns the ejections that follow.
 // servers is the number of backend servers that take new flows.
-func (o *Outliers) Report(now time.Duration, servers int, seen []Shorts) []Ejection {
+func (o *Outliers) Report(now time.Duration, servers int, seen []Failures) []Ejection {
 	if o.servers == nil {
 		o.servers = map[uint64]*suspect{}
 	}
@@ -57,9 +57,9 @@
 			s = &suspect{}
 			o.servers[report.ID] = s
 		}
-		count := s.shorts.add(now, float64(report.Count))
+		count := s.failures.add(now, float64(report.Count))
 		usual := o.total.add(now, float64(report.Count)) / float64(max(servers, 1))
-		if now < s.ejectedTo || count < minShorts || count < outlierRatio*usual {
+		if now < s.ejectedTo || count < minFailures || count < outlierRatio*usual {
 			continue
 		}
 		ejections = append(ejections, Ejection{ID: report.ID, For: s.eject(now)})
@@ -81,13 +81,13 @@
 // Expire forgets the backend servers that nothing was heard against for long.
 func (o *Outliers) Expire(now time.Duration) {
 	for id, s := range o.servers {
-		if now-max(s.shorts.at, s.ejectedTo) > 2*maxEjection {
+		if now-max(s.failures.at, s.ejectedTo) > 2*maxEjection {
 			delete(o.servers, id)
 		}
 	}
 }
 
-// decaying is a sum whose parts lose half of their weight in shortsHalfLife.
+// decaying is a sum whose parts lose half of their weight in failureHalfLife.
 type decaying struct {
 	sum float64
 	at  time.Duration
@@ -95,7 +95,7 @@
 
 // add adds to the sum and returns it.
 func (d *decaying) add(now time.Duration, value float64) float64 {
-	age := float64(now-d.at) / float64(shortsHalfLife)
+	age := float64(now-d.at) / float64(failureHalfLife)
 	d.sum = d.sum*math.Exp2(-age) + value
 	d.at = now
 	return d.sum
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -44,8 +44,8 @@
 	// Digest returns the digest of those records. A subscriber that has it gets
 	// only what changes from then on.
 	Digest func() uint64
-	// Reported, if set, is told of the short answers that subscribers have seen.
-	Reported func([]load.Shorts)
+	// Reported, if set, is told of the failed requests that subscribers have seen.
+	Reported func([]load.Failures)
 	// Log, if set, is told of subscribers that come and go.
 	Log *logrus.Entry
 
@@ -192,8 +192,8 @@
 	}
 	h.note("instanceLinked", hello)
 	for m := range c.Messages() {
-		if len(m.Shorts) > 0 && h.Reported != nil {
-			h.Reported(m.Shorts)
+		if len(m.Failures) > 0 && h.Reported != nil {
+			h.Reported(m.Failures)
 		}
 	}
 	h.leave(s)
--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -113,8 +113,8 @@
 		r.registry.onAlive(*m.Alive)
 	case m.Confirmed != nil:
 		r.registry.onConfirmed(*m.Confirmed)
-	case len(m.Shorts) > 0:
-		r.outliers.decide(m.Shorts)
+	case len(m.Failures) > 0:
+		r.outliers.decide(m.Failures)
 	case len(m.Ejections) > 0:
 		r.registry.hub.Eject(m.Ejections)
 	}
--- a/io/plane/outliers.go
+++ b/io/plane/outliers.go
@@ -25,15 +25,15 @@
 }
 
 // report takes in what an entry instance has seen, and passes it on to the leader.
-func (o *outliers) report(seen []load.Shorts) {
+func (o *outliers) report(seen []load.Failures) {
 	leader := o.leader.Load()
-	if leader == nil || *leader == o.r.id || !o.r.mesh.send(*leader, proto.ToPlane{Shorts: seen}) {
+	if leader == nil || *leader == o.r.id || !o.r.mesh.send(*leader, proto.ToPlane{Failures: seen}) {
 		o.decide(seen)
 	}
 }
 
 // decide ejects backend servers by what an entry instance has seen.
-func (o *outliers) decide(seen []load.Shorts) {
+func (o *outliers) decide(seen []load.Failures) {
 	ready := o.r.registry.count(roster.Ready)
 	o.mu.Lock()
 	ejections := o.found.Report(o.r.now(), ready, seen)
--- a/io/plane/outliers_test.go
+++ b/io/plane/outliers_test.go
@@ -60,8 +60,8 @@
 		}
 		for _, f := range followers {
 			// No replica alone hears of enough.
-			f.client.Send(proto.ToFeed{Shorts: []load.Shorts{{ID: 7, Count: 1}}})
-			f.client.Send(proto.ToFeed{Shorts: []load.Shorts{{ID: 7, Count: 1}}})
+			f.client.Send(proto.ToFeed{Failures: []load.Failures{{ID: 7, Count: 1}}})
+			f.client.Send(proto.ToFeed{Failures: []load.Failures{{ID: 7, Count: 1}}})
 		}
 		for _, f := range followers {
 			Eventually(f.ejections, patience).Should(Receive(HaveField("ID", uint64(7))))
@@ -78,7 +78,7 @@
 		Eventually(r.InContact, patience).Should(BeFalse())
 		f := follow(s.seeds[2])
 		Eventually(func() bool {
-			f.client.Send(proto.ToFeed{Shorts: []load.Shorts{{ID: 7, Count: 5}}})
+			f.client.Send(proto.ToFeed{Failures: []load.Failures{{ID: 7, Count: 5}}})
 			return len(f.ejections) > 0
 		}, patience, "100ms").Should(BeTrue())
 	})
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -34,9 +34,9 @@
 	Offer *config.Configuration `cbor:"7,keyasint,omitempty"`
 	Read  *Read                 `cbor:"8,keyasint,omitempty"`
 	Proof *Proof                `cbor:"9,keyasint,omitempty"`
-	// Shorts are short answers that an entry instance has seen, for the leader.
+	// Failures are failed requests that an entry instance has seen, for the leader.
 	// Ejections are what it decided, for the entry instances of all replicas.
-	Shorts    []load.Shorts   `cbor:"10,keyasint,omitempty"`
+	Failures  []load.Failures `cbor:"10,keyasint,omitempty"`
 	Ejections []load.Ejection `cbor:"11,keyasint,omitempty"`
 }
 
@@ -77,8 +77,8 @@
 // ToFeed is a message of an entry instance to whoever feeds it.
 type ToFeed struct {
 	Subscribe *Subscribe `cbor:"1,keyasint,omitempty"`
-	// Shorts are short answers that the instance has seen.
-	Shorts []load.Shorts `cbor:"2,keyasint,omitempty"`
+	// Failures are failed requests that the instance has seen.
+	Failures []load.Failures `cbor:"2,keyasint,omitempty"`
 }
 
 // Subscribe opens a link of an entry instance.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -221,10 +221,10 @@
 			r.balancer.Forget(now)
 		}
 		r.balancer.Load.NoteStuck(now)
-		shorts := r.balancer.Load.TakeShorts()
+		failures := r.balancer.Load.TakeFailures()
 		r.mu.Unlock()
-		if len(shorts) > 0 {
-			r.upstream.report(shorts)
+		if len(failures) > 0 {
+			r.upstream.report(failures)
 		}
 	}
 }
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -263,12 +263,12 @@
 	}
 }
 
-// report tells one replica of the short answers that were seen.
-func (u *upstream) report(seen []load.Shorts) {
+// report tells one replica of the failed requests that were seen.
+func (u *upstream) report(seen []load.Failures) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, l := range u.links {
-		if l.up && l.contact && l.client.Send(proto.ToFeed{Shorts: seen}) {
+		if l.up && l.contact && l.client.Send(proto.ToFeed{Failures: seen}) {
 			return
 		}
 	}
