Let only the leader eject, and end ejections when most backend servers fail

A backend server that is full turns requests away with short answers, so it was ejected, and the others got more than they could do.

Change: instances no longer eject by themselves; the leader counts how many backend servers have failed something lately, and while it is more than half of them it ejects none and ends what it had decided. Routes with two sizes of answer report nothing.

--- a/core/load/answers.go
+++ b/core/load/answers.go
@@ -28,20 +28,9 @@
 	// upperQuartile is the distance of the upper quartile from the median, in
 	// deviations of a normal distribution. The lower one may hold errors.
 	upperQuartile = 0.674
-	// rateGain is the weight of the latest answer in a route's share of short ones,
-	// and minRate the least share that is believed.
-	// Above maxRate short answers are nothing to tell others of.
-	rateGain = 1.0 / 64
-	minRate  = 0.02
-	maxRate  = 0.4
-	// chance is how unlikely a row of short answers must be, if all backend servers
-	// of the route were alike, for the backend server to be avoided.
-	chance = 0.001
-	// minEjection is how long a backend server is avoided for short answers. It is
-	// several times what it takes to see a few answers of it; it doubles up to
-	// maxEjection while the first answer after it is short too.
-	minEjection = 2 * time.Second
-	maxEjection = 16 * time.Second
+	// maxShortShare is the share of a route's answers above which short ones are no
+	// errors: their sizes differ by nature.
+	maxShortShare = 0.4
 	// A request is stuck when its first bytes of answer take stuckTimes as long as
 	// usual on the route, and longer than minStuck, within which a lost packet of it
 	// is sent again twice.
@@ -63,7 +52,6 @@
 	// far.
 	sizes [answersKept]float64
 	count int
-	rate  float64       // share of short answers from backend servers that are not avoided
 	took  time.Duration // usual time to the first bytes of an answer
 }
 
@@ -83,21 +71,11 @@
 	known := sorted[:min(a.count, answersKept)]
 	slices.Sort(known)
 	median, quartile := known[len(known)/2], known[len(known)*3/4]
-	return median - shortDeviations*max((quartile-median)/upperQuartile, minDeviation)
-}
-
-// note takes in whether an answer was short.
-func (a *routeAnswers) note(short bool) {
-	value := 0.0
-	if short {
-		value = 1
+	limit := median - shortDeviations*max((quartile-median)/upperQuartile, minDeviation)
+	if short, _ := slices.BinarySearch(known, limit); float64(short) > maxShortShare*float64(len(known)) {
+		return math.Inf(-1)
 	}
-	a.rate += rateGain * (value - a.rate)
-}
-
-// isOutlier reports whether a row of short answers is too long for chance.
-func (a *routeAnswers) isOutlier(row int) bool {
-	return math.Pow(max(a.rate, minRate), float64(row)) < chance
+	return limit
 }
 
 // observeAnswer takes in the size of an answer that a backend server has sent on a route.
@@ -108,26 +86,9 @@
 	}
 	a := t.route(p.Route)
 	a.seen = now
-	short := a.isShort(float64(bytes))
-	if now >= s.ejectedTo {
-		a.note(short)
-	}
-	if !short {
-		s.shortRow = 0
-		s.ejection /= 2
-		return
-	}
-	s.shortRow++
-	if a.rate < maxRate {
+	if a.isShort(float64(bytes)) {
 		t.countFailure(s.id)
 	}
-	if now >= s.ejectedTo && a.isOutlier(s.shortRow) {
-		s.ejection = min(max(2*s.ejection, minEjection), maxEjection)
-		s.ejectedTo = now + s.ejection
-		if t.Ejected != nil {
-			t.Ejected(Ejection{ID: s.id, For: s.ejection})
-		}
-	}
 }
 
 // route returns what is known of the answers of a route.
@@ -204,8 +165,7 @@
 
 // Eject carries out an ejection that was decided elsewhere.
 func (t *Tracker) Eject(now time.Duration, e Ejection) {
-	s := t.server(e.ID)
-	s.ejectedTo = max(s.ejectedTo, now+e.For)
+	t.server(e.ID).ejectedTo = now + e.For
 }
 
 // maxAnswer is above any answer; a larger difference of two acknowledgements is the
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -8,9 +8,9 @@
 // is avoided until another flow of it is answered.
 //
 // A request has failed, as far as an instance can tell, when its answer is far
-// shorter than usual on its route, or does not begin for far longer. Two short answers
-// in a row make an instance avoid a backend server by itself; Outliers decides the same
-// for a fleet, of which each instance sees too little.
+// shorter than usual on its route, or does not begin for far longer. Each instance sees
+// too little of each backend server to judge by; Outliers decides from what all
+// instances report which backend servers are avoided.
 //
 // # Usage
 //
@@ -19,7 +19,7 @@
 //	i := t.Pick(now, zone, candidates, key, avoid)  // choose for a new flow
 //	t.Expire(now)                                   // about once a second
 //
-// In a fleet the instances share what they see of errors:
+// The instances share what they see of errors:
 //
 //	ejections := outliers.Report(now, servers, t.TakeFailures())
 //	t.Eject(now, ejection)
@@ -93,9 +93,6 @@
 type Tracker struct {
 	// Answered, if set, is told how long each request took.
 	Answered func(took time.Duration)
-	// Ejected, if set, is told of each backend server that is avoided from now on
-	// for its short answers.
-	Ejected func(Ejection)
 
 	servers map[uint64]*server
 	flows   map[uint64]*record
@@ -113,9 +110,7 @@
 	missed    int           // opening packets without an answer, in a row
 	suspectTo time.Duration // avoided until then
 	penalty   time.Duration // length of the latest suspicion
-	shortRow  int           // short answers in a row
-	ejectedTo time.Duration // avoided for them until then
-	ejection  time.Duration // how long the latest time
+	ejectedTo time.Duration // avoided until then for requests that it failed
 }
 
 type state uint8
@@ -285,7 +280,7 @@
 	}
 	maps.DeleteFunc(t.routes, func(_ netip.AddrPort, a *routeAnswers) bool { return now-a.seen > routeMemory })
 	for id, s := range t.servers {
-		if s.flows == 0 && s.missed == 0 && now >= s.ejectedTo+maxEjection {
+		if s.flows == 0 && s.missed == 0 && now >= s.ejectedTo {
 			delete(t.servers, id)
 		}
 	}
--- a/core/load/outliers.go
+++ b/core/load/outliers.go
@@ -1,7 +1,9 @@
 package load
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,9 +26,17 @@
 	// minFailures is how many failed requests eject a backend server: more than one
 	// that is full for a moment sends before its callers go elsewhere.
 	minFailures = 3
-	// outlierRatio is how many times the usual number it must be.
-	// Where many backend servers fail alike, avoiding some helps nobody.
-	outlierRatio = 3
+	// outlierRatio times the usual number comes on top.
+	outlierRatio = 2
+	// maxSpread is the share of the backend servers that may have failed something
+	// lately for any to be ejected. Where more fail they are overloaded, and each one that
+	// is avoided overloads the others more.
+	maxSpread = 0.5
+	// minEjection is how long a backend server is avoided: several times what it takes
+	// to see a few requests of it fail. It doubles up to maxEjection while it fails again
+	// soon after.
+	minEjection = 2 * time.Second
+	maxEjection = 16 * time.Second
 )
 
 // Outliers decides from the failed requests that many instances have seen which backend
@@ -45,28 +55,58 @@
 }
 
 // Report takes in what an instance has seen, and returns the ejections that follow.
-// servers is the number of backend servers that take new flows.
+// One For no time ends an earlier one. servers is the number of backend servers that
+// take new flows.
 func (o *Outliers) Report(now time.Duration, servers int, seen []Failures) []Ejection {
 	if o.servers == nil {
 		o.servers = map[uint64]*suspect{}
 	}
-	var ejections []Ejection
 	for _, report := range seen {
 		s := o.servers[report.ID]
 		if s == nil {
 			s = &suspect{}
 			o.servers[report.ID] = s
 		}
-		count := s.failures.add(now, float64(report.Count))
-		usual := o.total.add(now, float64(report.Count)) / float64(max(servers, 1))
-		if now < s.ejectedTo || count < minFailures || count < outlierRatio*usual {
-			continue
+		s.failures.add(now, float64(report.Count))
+		o.total.add(now, float64(report.Count))
+	}
+	if o.spread(now) > maxSpread*float64(servers) {
+		return o.endAll(now)
+	}
+	usual := o.total.add(now, 0) / float64(max(servers, 1))
+	var ejections []Ejection
+	for _, report := range seen {
+		s := o.servers[report.ID]
+		if now >= s.ejectedTo && s.failures.add(now, 0) >= minFailures+outlierRatio*usual {
+			ejections = append(ejections, Ejection{ID: report.ID, For: s.eject(now)})
 		}
-		ejections = append(ejections, Ejection{ID: report.ID, For: s.eject(now)})
 	}
 	return ejections
 }
 
+// spread returns the number of backend servers that have failed something lately.
+func (o *Outliers) spread(now time.Duration) float64 {
+	n := 0.0
+	for _, s := range o.servers {
+		if s.failures.add(now, 0) >= 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// endAll ends all ejections.
+func (o *Outliers) endAll(now time.Duration) []Ejection {
+	var ended []Ejection
+	for _, id := range slices.Sorted(maps.Keys(o.servers)) {
+		if s := o.servers[id]; now < s.ejectedTo {
+			s.ejectedTo, s.length = now, 0
+			ended = append(ended, Ejection{ID: id})
+		}
+	}
+	return ended
+}
+
 // eject returns for how long a backend server is ejected: longer each time that it
 // fails again soon after.
 func (s *suspect) eject(now time.Duration) time.Duration {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -32,7 +32,6 @@
 	"github.com/sirupsen/logrus"
 
 	"boragepost/core/flow"
-	"boragepost/core/load"
 	"boragepost/core/roster"
 	"boragepost/io/feed"
 	"boragepost/io/links"
@@ -122,7 +121,6 @@
 	}
 	r.balancer.Zone = cfg.Zone
 	r.balancer.Load.Answered = func(took time.Duration) { r.counters.answerSeconds.Observe(took.Seconds()) }
-	r.balancer.Load.Ejected = func(e load.Ejection) { r.trace.ejected("answers", e) }
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if err := r.feedOthers(); err != nil {
 		r.cancel()
--- a/io/relay/trace.go
+++ b/io/relay/trace.go
@@ -132,9 +132,8 @@
 	}
 }
 
-// ejected notes an ejection, decided by a replica or from the answers that
-// this instance has seen.
-func (t *trace) ejected(source string, e load.Ejection) {
+// ejected notes that a backend server is avoided from now on, or no longer.
+func (t *trace) ejected(replica string, e load.Ejection) {
 	t.r.log.WithFields(logrus.Fields{
-		"server": logs.ServerName(e.ID), "for": e.For, "source": source}).Info("serverEjected")
+		"server": logs.ServerName(e.ID), "for": e.For, "replica": replica}).Info("serverEjected")
 }
