Save departures of backend servers before they are acknowledged

Cause: a leaving backend server was acknowledged once a majority of the replicas had it in memory. The checkpoint on disk is written once a second, so replicas that stopped within that second restored the backend server as ready, and entry instances placed flows on it. Acknowledgements of replicas that are no voters counted too, and deregistering after draining needed none. Ruled out: the log of the configuration (a departure would wait for the leader and for elections); a checkpoint for each departure (writes the whole roster). A majority of the voters must have synced a departure before it is acknowledged. The replica saves a last checkpoint when it stops. Current returns a copy, which the event loop no longer overwrites.

--- a/io/plane/checkpoint.go
+++ b/io/plane/checkpoint.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
+	"boragepost/core/roster"
 	"boragepost/io/store"
 )
 
@@ -23,44 +26,148 @@
 		g.r.log.WithError(err).Warn("checkpointNotRestored")
 		return
 	}
-	for _, s := range saved.Servers {
+	departed := g.restoreDepartures()
+	for _, s := range slices.Concat(saved.Servers, departed) {
 		g.roster.Merge(g.r.now(), s.WithSilence(false))
 	}
 	g.hub.Configure(saved.Configuration)
-	g.r.log.WithField("servers", len(saved.Servers)).WithField("version", saved.Configuration.Version).
-		Info("checkpointRestored")
+	g.r.log.WithField("servers", len(saved.Servers)).WithField("departed", len(departed)).
+		WithField("version", saved.Configuration.Version).Info("checkpointRestored")
 }
 
-// saveCheckpoints saves the roster and the configuration whenever they have changed,
-// until ctx ends.
-func (g *registry) saveCheckpoints(ctx context.Context) {
+// restoreDepartures returns the backend servers that have left since the checkpoint.
+func (g *registry) restoreDepartures() []roster.Server {
+	departed, skipped, err := g.r.store.Departures()
+	switch {
+	case err != nil:
+		// The other replicas of the majority that acknowledged a departure have it too.
+		g.r.log.WithError(err).Warn("departuresNotRestored")
+	case skipped > 0:
+		g.r.log.WithField("bytes", skipped).Warn("departuresSkipped")
+	}
+	return departed
+}
+
+// journal queues departures for the disk. The zero value is empty; it is safe for
+// concurrent use.
+type journal struct {
+	mu      sync.Mutex
+	pending []roster.Server
+	onSaved []func()
+	wake    chan struct{} // holds one element while records are pending
+}
+
+// woken returns a channel that receives after records were added.
+func (j *journal) woken() <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.makeWake()
+	return j.wake
+}
+
+func (j *journal) makeWake() {
+	if j.wake == nil {
+		j.wake = make(chan struct{}, 1)
+	}
+}
+
+// add queues records. onSaved is called when they are synced, and never if that fails.
+func (j *journal) add(servers []roster.Server, onSaved func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.makeWake()
+	j.pending = append(j.pending, servers...)
+	j.onSaved = append(j.onSaved, onSaved)
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (j *journal) take() (servers []roster.Server, onSaved []func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	servers, onSaved = j.pending, j.onSaved
+	j.pending, j.onSaved = nil, nil
+	return servers, onSaved
+}
+
+// departures returns the records of the backend servers that leave or are gone.
+func departures(servers []roster.Server) []roster.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s roster.Server) bool { return s.Phase == roster.Ready })
+}
+
+// diskWriter saves checkpoints and departures. Only its goroutine uses it.
+type diskWriter struct {
+	g *registry
+	// saved identifies the contents of the latest checkpoint.
+	saved checkpointVersion
+	// journaled is set if the journal has records.
+	journaled bool
+}
+
+// checkpointVersion identifies the contents of a checkpoint.
+type checkpointVersion struct{ digest, version uint64 }
+
+// run saves departures at once, all that are queued in one write, and the roster and
+// the configuration whenever they have changed, until ctx ends.
+func (w *diskWriter) run(ctx context.Context) {
 	ticker := time.NewTicker(checkpointInterval)
 	defer ticker.Stop()
-	var written checkpointVersion
+	woken := w.g.journal.woken()
 	for {
 		select {
 		case <-ctx.Done():
+			w.saveDepartures()
+			w.saveCheckpoint()
 			return
+		case <-woken:
+			w.saveDepartures()
 		case <-ticker.C:
+			w.saveCheckpoint()
 		}
-		c, version := g.checkpointContents()
-		if version == written {
-			continue
-		}
-		if err := g.r.store.SaveCheckpoint(c); err != nil {
-			g.r.log.WithError(err).Warn("checkpointNotSaved")
-			continue
-		}
-		written = version
 	}
 }
 
-// checkpointVersion identifies the contents of a checkpoint.
-type checkpointVersion struct{ digest, version uint64 }
+func (w *diskWriter) saveDepartures() {
+	servers, onSaved := w.g.journal.take()
+	if len(servers) == 0 {
+		return
+	}
+	w.journaled = true
+	if err := w.g.r.store.SaveDepartures(servers); err != nil {
+		// Not acknowledged: the backend servers repeat it, here or at another replica.
+		w.g.r.log.WithError(err).WithField("servers", len(servers)).Warn("departuresNotSaved")
+		return
+	}
+	for _, f := range onSaved {
+		f()
+	}
+}
+
+func (w *diskWriter) saveCheckpoint() {
+	c, version := w.g.checkpointContents()
+	if version == w.saved && !w.journaled {
+		return
+	}
+	if err := w.g.r.store.SaveCheckpoint(c); err != nil {
+		w.g.r.log.WithError(err).Warn("checkpointNotSaved")
+		return
+	}
+	w.saved = version
+	if !w.journaled {
+		return
+	}
+	if err := w.g.r.store.ClearDepartures(); err != nil {
+		w.g.r.log.WithError(err).Warn("departuresNotCleared")
+		return
+	}
+	w.journaled = false
+}
 
 func (g *registry) checkpointContents() (store.Checkpoint, checkpointVersion) {
-	c := store.Checkpoint{Servers: g.all(), Configuration: g.r.Current()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c := store.Checkpoint{Servers: slices.Collect(g.roster.All()), Configuration: g.r.Current()}
 	return c, checkpointVersion{digest: g.roster.Digest(), version: c.Configuration.Version}
 }
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -15,6 +15,7 @@
 func (r *Replica) run() {
 	defer close(r.stopped)
 	defer r.store.Close()
+	defer r.diskWriterDone.Wait()
 	defer r.server.Close()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -74,7 +75,7 @@
 	known := slices.Compact(slices.Sorted(slices.Values(r.knownAddresses())))
 	r.mesh.link(known)
 	r.registry.hub.SetReplicas(known)
-	r.registry.setVoters(len(r.node.Voters()))
+	r.registry.setVoters(r.node.Voters())
 	r.expireReads(now)
 }
 
@@ -152,7 +153,7 @@
 	}
 	r.notifyApplied()
 	if version := r.state.Configuration.Version; version != before {
-		r.current.Store(&r.state.Configuration)
+		r.storeCurrent()
 		close(r.configChanged)
 		r.configChanged = make(chan struct{})
 		r.registry.hub.Configure(r.state.Configuration)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -34,6 +34,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -131,6 +132,7 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	stopped         chan struct{}
+	diskWriterDone  sync.WaitGroup
 	start           time.Duration
 	ticks           uint64
 	diskFailing     bool // the latest disk write failed
@@ -164,7 +166,7 @@
 	r.mesh.link(r.knownAddresses())
 	go r.run()
 	go r.registry.run(r.ctx)
-	go r.registry.saveCheckpoints(r.ctx)
+	r.diskWriterDone.Go(func() { (&diskWriter{g: &r.registry}).run(r.ctx) })
 	r.log.WithField("listen", cfg.Listen).WithField("version", r.state.Configuration.Version).
 		WithField("peers", r.node.Voters()).Info("controlStarted")
 	return r, nil
@@ -187,7 +189,7 @@
 			return nil, fmt.Errorf("restore snapshot: %w", err)
 		}
 	}
-	r.current.Store(&r.state.Configuration)
+	r.storeCurrent()
 	r.node = quorum.New(quorum.Config{
 		ID: r.id, InitialVoters: identity.InitialVoters, DynamicMembership: true,
 		MembershipLimits: quorum.MembershipLimits{MinVoters: 2*cfg.FaultTolerance + 1, VoterTimeoutTicks: uint64(cfg.VoterTimeout / tickInterval)},
@@ -304,6 +306,13 @@
 // out of date.
 func (r *Replica) Current() config.Configuration { return *r.current.Load() }
 
+// storeCurrent publishes a copy of the configuration, since the event loop overwrites
+// its own.
+func (r *Replica) storeCurrent() {
+	c := r.state.Configuration
+	r.current.Store(&c)
+}
+
 // InContact reports whether the replica leads with a quorum or has recently heard
 // from a leader.
 func (r *Replica) InContact() bool {
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -13,31 +13,43 @@
 )
 
 // registry holds the roster, publishes changes to entry instances through its hub,
-// and exchanges them with the other replicas. It never waits for the disk or the
-// event loop. Only the announcement of a leaving backend server waits for other
+// and exchanges them with the other replicas. It never waits for the event loop. Only
+// the announcement of a leaving backend server waits for the disk and the other
 // replicas, and does not hold mu meanwhile.
 type registry struct {
 	r            *Replica
 	mu           sync.Mutex
 	roster       roster.Roster
 	hub          feed.Hub
-	voters       int
+	voters       []string
 	contactSince time.Duration // start of the present period of contact with the others
 	serial       uint64
 	ackWaits     map[uint64]*ackWait
-	// confirmedLeaving maps a backend server to the incarnation that a majority of
-	// the replicas is known to have recorded as leaving, plus one, so that 0 means none.
-	confirmedLeaving map[uint64]uint64
-	batcher          feed.Batcher // of records for the other replicas
+	// confirmed holds the latest departure of each backend server that a majority of
+	// the voters is known to have on disk.
+	confirmed map[uint64]departure
+	journal   journal
+	batcher   feed.Batcher // of records for the other replicas
 	// fullSyncAt is when the complete roster was last sent to each replica.
 	fullSyncAt map[string]time.Duration
 }
 
-// ackWait counts the replicas that have acknowledged a change.
+// departure is a phase other than Ready of one start of a backend server.
+type departure struct {
+	incarnation uint64
+	phase       roster.Phase
+}
+
+// covers reports whether d shows that s was recorded.
+func (d departure) covers(s roster.Server) bool {
+	return d.incarnation == s.Incarnation && d.phase >= s.Phase
+}
+
+// ackWait counts the voters that have a change on disk.
 type ackWait struct {
 	ackedBy map[string]bool
-	done    chan struct{} // closed when need replicas have acknowledged
-	need    int           // not counting this replica
+	done    chan struct{} // closed when need voters have acknowledged
+	need    int
 }
 
 const (
@@ -55,15 +67,15 @@
 	g.hub.OnFailures = r.outliers.report
 	g.hub.Configure(r.state.Configuration)
 	g.ackWaits = map[uint64]*ackWait{}
-	g.confirmedLeaving = map[uint64]uint64{}
+	g.confirmed = map[uint64]departure{}
 	g.fullSyncAt = map[string]time.Duration{}
 	g.restoreCheckpoint()
 }
 
 // Announce records a backend server's announcement. It returns nil when the backend
 // server may rely on it: this replica is in contact with a quorum and, if the
-// backend server leaves, a majority of the replicas has recorded that. On an error
-// the announcement is recorded nevertheless.
+// backend server leaves, a majority of the voters has that on disk. On an error the
+// announcement is recorded nevertheless.
 func (r *Replica) Announce(ctx context.Context, s roster.Server) error {
 	start := r.now()
 	err := r.announce(ctx, s)
@@ -77,7 +89,7 @@
 	g.mu.Lock()
 	changed := g.roster.RecordAnnouncement(r.now(), s)
 	g.logChanges("announcement", changed)
-	leaving := s.Phase != roster.Ready && g.confirmedLeaving[s.ID] != s.Incarnation+1
+	leaving := s.Phase != roster.Ready && !g.confirmed[s.ID].covers(s)
 	if leaving && len(changed) == 0 {
 		changed = []roster.Server{s} // repeated, because some replicas may have missed it
 	}
@@ -92,19 +104,19 @@
 	if err := g.awaitAcks(ctx, c); err != nil {
 		return err
 	}
-	g.markLeavingConfirmed(s)
+	g.confirm(s)
 	return nil
 }
 
-// markLeavingConfirmed records that a majority of the replicas has recorded a backend
-// server as leaving, so that its repeated announcements need no acknowledgements.
-func (g *registry) markLeavingConfirmed(s roster.Server) {
+// confirm records that a majority of the voters has a departure on disk, so that its
+// repeated announcements need no acknowledgements.
+func (g *registry) confirm(s roster.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.confirmedLeaving) > maxAckWaits {
-		clear(g.confirmedLeaving) // at worst, acknowledgements are requested again
+	if len(g.confirmed) > maxAckWaits {
+		clear(g.confirmed) // at worst, acknowledgements are requested again
 	}
-	g.confirmedLeaving[s.ID] = s.Incarnation + 1
+	g.confirmed[s.ID] = departure{incarnation: s.Incarnation, phase: s.Phase}
 }
 
 // Deregister records that a backend server is gone. A call for an unknown backend
@@ -121,8 +133,8 @@
 }
 
 // publish sends changed records to the subscribed entry instances and to the other
-// replicas. With needAcks the replicas get them at once and the returned ackWait
-// counts their acknowledgements; otherwise they get them in batches.
+// replicas. With needAcks all replicas save the departures among them, and the returned
+// ackWait counts those that have; otherwise the replicas get the records in batches.
 func (g *registry) publish(changed []roster.Server, needAcks bool) *ackWait {
 	if len(changed) == 0 {
 		return nil
@@ -130,7 +142,8 @@
 	g.hub.PublishServers(changed)
 	if needAcks {
 		g.serial++
-		c := g.newAckWait()
+		c, serial := g.newAckWait(), g.serial
+		g.journal.add(departures(changed), func() { g.handleRosterAck(proto.RosterAck{By: g.r.id, Serial: serial}) })
 		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: changed, Serial: g.serial}})
 		return c
 	}
@@ -142,13 +155,10 @@
 	g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: servers}})
 }
 
-// newAckWait starts to count the acknowledgements of the current serial. Together
-// with this replica they form a majority of the voters.
+// newAckWait starts to count the acknowledgements of the current serial by a majority of
+// the voters.
 func (g *registry) newAckWait() *ackWait {
-	c := &ackWait{ackedBy: map[string]bool{}, done: make(chan struct{}), need: g.voters / 2}
-	if c.need == 0 {
-		close(c.done)
-	}
+	c := &ackWait{ackedBy: map[string]bool{}, done: make(chan struct{}), need: len(g.voters)/2 + 1}
 	g.ackWaits[g.serial] = c
 	delete(g.ackWaits, g.serial-maxAckWaits)
 	return c
@@ -190,7 +200,9 @@
 		g.r.mesh.broadcast(proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: newer}})
 	}
 	if m.Serial > 0 {
-		g.r.mesh.send(m.From, proto.ToPlane{RosterAck: &proto.RosterAck{By: g.r.id, Serial: m.Serial}})
+		g.journal.add(departures(m.Servers), func() {
+			g.r.mesh.send(m.From, proto.ToPlane{RosterAck: &proto.RosterAck{By: g.r.id, Serial: m.Serial}})
+		})
 	}
 }
 
@@ -218,7 +230,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.ackWaits[m.Serial]
-	if c == nil || c.ackedBy[m.By] {
+	if c == nil || c.ackedBy[m.By] || !slices.Contains(g.voters, m.By) {
 		return
 	}
 	c.ackedBy[m.By] = true
@@ -247,12 +259,12 @@
 	return g.roster.Count(phase)
 }
 
-// setVoters sets the number of voters, a majority of which must record that a
-// backend server leaves.
-func (g *registry) setVoters(n int) {
+// setVoters sets the voters, a majority of which must save that a backend server
+// leaves.
+func (g *registry) setVoters(ids []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.voters = n
+	g.voters = ids
 }
 
 // run exchanges heartbeats and detects silent backend servers until ctx ends.
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -42,7 +42,7 @@
 }
 
 // Roster carries changed records of backend servers. If Serial is not 0, the receiver
-// sends a RosterAck once it has merged them.
+// sends a RosterAck once it has merged them and has the departures among them on disk.
 type Roster struct {
 	From    string          `cbor:"1,keyasint"`
 	Serial  uint64          `cbor:"2,keyasint,omitempty"`
@@ -58,7 +58,7 @@
 	Digest     uint64             `cbor:"3,keyasint,omitempty"`
 }
 
-// RosterAck acknowledges that the records with a serial have been merged.
+// RosterAck acknowledges that the departures among the records with a serial are on disk.
 type RosterAck struct {
 	By     string `cbor:"1,keyasint"`
 	Serial uint64 `cbor:"2,keyasint"`
--- a/io/store/checkpoint.go
+++ b/io/store/checkpoint.go
@@ -15,8 +15,8 @@
 	Configuration config.Configuration `cbor:"2,keyasint"`
 }
 
-// SaveCheckpoint writes and syncs a checkpoint. Unlike the other methods it may be
-// called from a second goroutine.
+// SaveCheckpoint writes and syncs a checkpoint. It may be called from the goroutine of
+// SaveDepartures.
 func (s *Store) SaveCheckpoint(c Checkpoint) error {
 	data, err := encodeRecord(c)
 	if err != nil {
--- a/io/store/export_test.go
+++ b/io/store/export_test.go
@@ -14,6 +14,7 @@
 // InjectFaults makes calls of a store's disk fail.
 func (s *Store) InjectFaults(f *Faults) {
 	s.log = &faultyFile{file: s.log, faults: f}
+	s.departures = &faultyFile{file: s.departures, faults: f}
 	realSyncDir := s.syncDir
 	s.syncDir = func(dir string) error {
 		if consume(&f.DirectorySyncs) {
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -4,6 +4,8 @@
 //
 //   - identity names the replica, if the set of voters is dynamic.
 //   - checkpoint holds soft state that shortens a restart and may be outdated.
+//   - departures is a journal of the backend servers that have left since the
+//     checkpoint. A departure is synced before it is acknowledged.
 //   - log is a sequence of records, each with a checksum of its header and one of its
 //     contents. Each Save appends one record and syncs it before it returns.
 //   - snapshot holds the latest snapshot, which replaces the log up to its index.
@@ -39,6 +41,7 @@
 	lockName       = "lock"
 	identityName   = "identity"
 	checkpointName = "checkpoint"
+	departuresName = "departures"
 
 	headerBytes = 16 // magic, length, contents checksum, header checksum
 	magic       = 0x62706c31
@@ -77,13 +80,14 @@
 
 var _ file = (*os.File)(nil)
 
-// Store is an open data directory. Except for SaveCheckpoint its methods must be called
-// from one goroutine.
+// Store is an open data directory. Its methods must be called from one goroutine, except
+// that a second goroutine may save checkpoints and departures.
 type Store struct {
-	dir  string
-	log  file
-	size int64 // length of the valid part of the log
-	lock *os.File
+	dir        string
+	log        file
+	departures file
+	size       int64 // length of the valid part of the log
+	lock       *os.File
 	// dirty means that the log may have data after its valid part.
 	dirty bool
 	// snapshotIncomplete means that SaveSnapshot failed, so that the log's name in the
@@ -106,7 +110,12 @@
 		return nil, saved, fmt.Errorf("lock data directory: %w", err)
 	}
 	s := &Store{dir: dir, lock: lock, syncDir: syncDirectory}
+	if err := s.openDepartures(); err != nil {
+		lock.Close()
+		return nil, saved, err
+	}
 	if err := s.load(&saved); err != nil {
+		s.departures.Close()
 		lock.Close()
 		return nil, quorum.PersistentState{}, err
 	}
@@ -142,11 +151,7 @@
 
 // Close closes the data directory.
 func (s *Store) Close() error {
-	err := s.log.Close()
-	if lockErr := s.lock.Close(); err == nil {
-		err = lockErr
-	}
-	return err
+	return errors.Join(s.log.Close(), s.departures.Close(), s.lock.Close())
 }
 
 // Save appends a hard state, if not nil, and entries to the log and syncs it. After an
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"boragepost/core/quorum"
+	"boragepost/core/roster"
 	"boragepost/io/store"
 )
 
@@ -154,3 +155,42 @@
 		}
 	})
 }
+
+var _ = Describe("the journal of departures", func() {
+	server := func(id uint64) roster.Server { return roster.Server{ID: id, Incarnation: 5, Phase: roster.Gone} }
+	saved := func(dir string) ([]roster.Server, int) {
+		s, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		servers, skipped, err := s.Departures()
+		Expect(err).NotTo(HaveOccurred())
+		return servers, skipped
+	}
+
+	It("returns what was saved since it was cleared", func() {
+		dir := GinkgoT().TempDir()
+		s, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.SaveDepartures([]roster.Server{server(1)})).To(Succeed())
+		Expect(s.ClearDepartures()).To(Succeed())
+		Expect(s.SaveDepartures([]roster.Server{server(2), server(3)})).To(Succeed())
+		Expect(s.SaveDepartures([]roster.Server{server(4)})).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		servers, skipped := saved(dir)
+		Expect(servers).To(Equal([]roster.Server{server(2), server(3), server(4)}))
+		Expect(skipped).To(BeZero())
+	})
+
+	It("keeps synced records behind a torn write", func() {
+		dir := GinkgoT().TempDir()
+		s, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		s.InjectFaults(&store.Faults{TornWrites: 1})
+		Expect(s.SaveDepartures([]roster.Server{server(1)})).To(MatchError(store.ErrFault))
+		Expect(s.SaveDepartures([]roster.Server{server(2)})).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		servers, skipped := saved(dir)
+		Expect(servers).To(Equal([]roster.Server{server(2)}))
+		Expect(skipped).To(BeNumerically(">", 0))
+	})
+})
