Report unknown for a request that an earlier try may have run

Cause: the gateway reported the outcome of the latest try only. A PUT whose backend server closed the connection after it had read the request was answered with notRun when the next try found no backend server, or one that shed load. Change: once a try may have run the request, the outcome is unknown unless a later try brings an answer. Before: the new test of io/gate fails with notRun. After: it passes.

--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -27,29 +27,31 @@
 // retried if it may have run. Retries are limited by the retry budget.
 func (g *Gateway) dispatch(ctx context.Context, c *call) result {
 	tried := map[model.ServerID]bool{}
-	detail := "the service has no backend server that takes work"
-	for {
-		if ctx.Err() != nil {
-			return result{outcome: NotRun, detail: "the deadline passed before the request could be sent"}
-		}
+	last := result{outcome: NotRun, detail: "the service has no backend server that takes work"}
+	mayHaveRun := false
+	for ctx.Err() == nil {
 		server, ok := c.pool.acquire(c.class, tried)
 		if !ok {
-			return result{outcome: NotRun, detail: detail}
+			break
 		}
 		tried[server.ID] = true
-		res := g.attempt(ctx, c, server)
-		if res.response != nil {
-			return res
-		}
-		detail = res.detail
-		if res.outcome == Unknown && !c.idempotent {
-			return res
+		last = g.attempt(ctx, c, server)
+		if last.response != nil {
+			return last
 		}
-		if !c.pool.withdrawRetry() {
-			return res
+		mayHaveRun = mayHaveRun || last.outcome == Unknown
+		if mayHaveRun && !c.idempotent || !c.pool.withdrawRetry() {
+			break
 		}
 		g.retries.Inc()
 	}
+	if ctx.Err() != nil && len(tried) == 0 {
+		last.detail = "the deadline passed before the request could be sent"
+	}
+	if mayHaveRun {
+		last.outcome = Unknown
+	}
+	return last
 }
 
 // attempt sends a request to one backend server.
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -130,6 +130,28 @@
 		Expect(lostResponses.Load()).To(BeNumerically(">", 0))
 	})
 
+	// A later try that finds no backend server must not hide that an earlier one may have
+	// run the request.
+	It("returns unknown for an idempotent request that may have run, whatever later tries find", func() {
+		var lostResponses atomic.Int64
+		addBackend(abortConnection(&lostResponses))
+		outcome, _ := send("PUT", "", "5")
+		Expect(outcome).To(Equal("unknown"), "no other backend server")
+		addBackend(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		for range 10 {
+			before := lostResponses.Load()
+			outcome, _ = send("PUT", "", "5")
+			if lostResponses.Load() > before {
+				Expect(outcome).To(Equal("unknown"), "the other one sheds load")
+			} else {
+				Expect(outcome).To(Equal("notRun"))
+			}
+		}
+	})
+
 	It("retries a shed request elsewhere and adds at most a tenth of the load if all backend servers shed", func() {
 		var shedCount, ran atomic.Int64
 		shed := func(w http.ResponseWriter, _ *http.Request) {
