Index the roster by address

Cause: merging a record looked through all records for others at its address. An instance that receives the complete state of n backend servers did n² steps, holding the lock of its packet path. Change: the roster keeps the identifiers of the records at each address.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -110,12 +110,18 @@
 // Roster is a set of backend servers. The zero value is empty.
 type Roster struct {
 	servers map[uint64]*entry
-	// newestAt is the newest incarnation by address.
-	newestAt   map[netip.AddrPort]uint64
+	// at holds what is known of each address.
+	at         map[netip.AddrPort]*tenancy
 	heartbeats map[uint64]Heartbeat // not yet returned by TakeHeartbeats
 	digest     uint64               // of all records
 }
 
+// tenancy is the succession of backend servers at one address.
+type tenancy struct {
+	newest uint64   // incarnation
+	ids    []uint64 // of the records with this address
+}
+
 type entry struct {
 	server  Server
 	heardAt time.Duration // when the latest heartbeat or change arrived
@@ -191,7 +197,7 @@
 // has a newer record.
 func (r *Roster) Merge(now time.Duration, s Server) (changed []Server, stale bool) {
 	changed = r.claimAddress(now, s)
-	if s.Incarnation < r.newestAt[s.Address] {
+	if s.Incarnation < r.newestAt(s.Address) {
 		s.Phase = Gone // a newer incarnation has started at its address
 	}
 	old, exists := r.servers[s.ID]
@@ -209,16 +215,14 @@
 // claimAddress records the incarnation that uses an address and marks earlier
 // incarnations there as gone.
 func (r *Roster) claimAddress(now time.Duration, s Server) (changed []Server) {
-	if !s.Address.IsValid() || s.Incarnation <= r.newestAt[s.Address] {
+	if !s.Address.IsValid() || s.Incarnation <= r.newestAt(s.Address) {
 		return nil
 	}
-	if r.newestAt == nil {
-		r.newestAt = map[netip.AddrPort]uint64{}
-	}
-	r.newestAt[s.Address] = s.Incarnation
-	for _, e := range r.servers {
-		old := e.server
-		if old.Address == s.Address && old.Incarnation < s.Incarnation && old.Phase != Gone && old.ID != s.ID {
+	t := r.tenancyOf(s.Address)
+	t.newest = s.Incarnation
+	for _, id := range t.ids {
+		old := r.servers[id].server
+		if old.Incarnation < s.Incarnation && old.Phase != Gone && old.ID != s.ID {
 			r.put(now, old.WithPhase(Gone))
 			changed = append(changed, old.WithPhase(Gone))
 		}
@@ -226,12 +230,51 @@
 	return changed
 }
 
+// newestAt returns the newest incarnation at an address, or 0.
+func (r *Roster) newestAt(address netip.AddrPort) uint64 {
+	if t := r.at[address]; t != nil {
+		return t.newest
+	}
+	return 0
+}
+
+// tenancyOf returns the tenancy of an address, and adds it if it is new.
+func (r *Roster) tenancyOf(address netip.AddrPort) *tenancy {
+	if r.at == nil {
+		r.at = map[netip.AddrPort]*tenancy{}
+	}
+	if r.at[address] == nil {
+		r.at[address] = &tenancy{}
+	}
+	return r.at[address]
+}
+
+// moveTo records that a backend server's record has changed from one address to another.
+func (r *Roster) moveTo(id uint64, from, to netip.AddrPort) {
+	if from == to {
+		return
+	}
+	r.leaveAddress(id, from)
+	if to.IsValid() {
+		t := r.tenancyOf(to)
+		t.ids = append(t.ids, id)
+	}
+}
+
+func (r *Roster) leaveAddress(id uint64, address netip.AddrPort) {
+	if t := r.at[address]; t != nil {
+		t.ids = slices.DeleteFunc(t.ids, func(other uint64) bool { return other == id })
+	}
+}
+
 func (r *Roster) put(now time.Duration, s Server) {
 	if r.servers == nil {
 		r.servers = map[uint64]*entry{}
 	}
 	e := &entry{server: s, heardAt: now}
+	from := netip.AddrPort{}
 	if old, exists := r.servers[s.ID]; exists {
+		from = old.server.Address
 		r.digest ^= old.server.placementHash()
 		if s.Silent {
 			e.heardAt = old.heardAt
@@ -239,6 +282,7 @@
 	}
 	r.digest ^= s.placementHash()
 	r.servers[s.ID] = e
+	r.moveTo(s.ID, from, s.Address)
 }
 
 // RecordAnnouncement merges an announcement received from the backend server itself
@@ -303,8 +347,9 @@
 			continue
 		}
 		delete(r.servers, id)
-		if r.newestAt[e.server.Address] == e.server.Incarnation {
-			delete(r.newestAt, e.server.Address)
+		r.leaveAddress(id, e.server.Address)
+		if t := r.at[e.server.Address]; t != nil && t.newest == e.server.Incarnation && len(t.ids) == 0 {
+			delete(r.at, e.server.Address)
 		}
 	}
 	return before - len(r.servers)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -180,3 +181,25 @@
 func sameIncarnationAndPhase(a, b roster.Server) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Phase == b.Phase
 }
+
+// BenchmarkMergeAll merges the records of a fleet into an empty roster, as an instance
+// does after its start.
+func BenchmarkMergeAll(b *testing.B) {
+	for _, count := range []int{300, 3000, 12000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var servers []roster.Server
+			for i := range count {
+				s := server(uint64(i+1), 5, 1)
+				s.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
+				servers = append(servers, s)
+			}
+			for b.Loop() {
+				var r roster.Roster
+				for _, s := range servers {
+					r.Merge(0, s)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/server")
+		})
+	}
+}
