Subscribe each entry instance to one replica, with a standby

Cause: every entry instance subscribed to three replicas, so a replica sent each changed record to three fifths of the fleet, and an entry received it three times. Ruled out: the heartbeats between replicas, 84 kB/s of 1,700 at 300 machines by their sizes (21 bytes for each of 500 a second, to and from four others). Change: package core/source selects an active source and a standby, which reports only contact and version. Replicas in the own availability zone come first; a standby that is ahead replaces a replica whose disk hangs. A replica reports contact also while its event loop waits for the disk. An instance that starts opens one link first.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -1,6 +1,7 @@
 // Package feed publishes the configuration and the backend servers to subscribers. A
 // subscriber receives configurations as deltas against its last one, and the records
-// of backend servers that changed.
+// of backend servers that changed. A subscriber whose link is a standby receives only
+// the version of the configuration; it may change between both at any time.
 //
 // Entry instances subscribe to control replicas. An entry instance that has lost every
 // replica subscribes to another entry instance, so a Hub sends each subscriber the
@@ -17,6 +18,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -55,6 +57,7 @@
 	mu          sync.Mutex
 	config      config.Configuration
 	replicas    []string
+	zones       map[string]string // of replicas, by address
 	contact     bool
 	subscribers map[*subscriber]bool
 	batcher     Batcher
@@ -70,6 +73,7 @@
 	conn    *conn
 	address string
 	zone    string
+	standby bool
 	sent    config.Configuration // base of its next delta
 	peers   []string
 }
@@ -95,7 +99,12 @@
 	}
 	h.config = c
 	deltas := map[uint64]links.Encoded[proto.Update]{} // by base version
+	notice := h.encode(proto.Update{Version: c.Version})
 	for s := range h.subscribers {
+		if s.standby {
+			s.conn.SendEncoded(notice)
+			continue
+		}
 		if s.sent.Version >= c.Version {
 			continue
 		}
@@ -126,7 +135,7 @@
 func (h *Hub) broadcastServers(servers []roster.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.broadcast(proto.Update{Servers: servers})
+	h.broadcast(proto.Update{Servers: servers}, activeOnly)
 }
 
 // encode encodes an update. An error is a programming error, since updates hold plain
@@ -143,7 +152,7 @@
 func (h *Hub) PublishEjections(ejections []load.Ejection) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.broadcast(proto.Update{Ejections: ejections})
+	h.broadcast(proto.Update{Ejections: ejections}, activeOnly)
 }
 
 // SetReplicas sets the addresses of the control replicas and publishes them if they
@@ -154,7 +163,19 @@
 	changed := !slices.Equal(addresses, h.replicas)
 	h.replicas = addresses
 	if changed {
-		h.broadcast(proto.Update{Replicas: addresses})
+		h.broadcast(proto.Update{Replicas: addresses}, everyone)
+	}
+}
+
+// SetReplicaZones sets the availability zones of control replicas by address, and
+// publishes them if they have changed.
+func (h *Hub) SetReplicaZones(zones map[string]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := !maps.Equal(zones, h.zones)
+	h.zones = maps.Clone(zones)
+	if changed {
+		h.broadcast(proto.Update{ReplicaZones: h.zones}, everyone)
 	}
 }
 
@@ -167,19 +188,27 @@
 	changed := contact != h.contact
 	h.contact = contact
 	if changed {
-		h.broadcast(proto.Update{Contact: &contact})
+		h.broadcast(proto.Update{Contact: &contact}, everyone)
 	}
 	return changed
 }
 
-// broadcast sends an update to every subscriber. h.mu must be held.
-func (h *Hub) broadcast(m proto.Update) {
+// audience selects the subscribers that get an update.
+type audience func(*subscriber) bool
+
+func everyone(*subscriber) bool     { return true }
+func activeOnly(s *subscriber) bool { return !s.standby }
+
+// broadcast sends an update to an audience. h.mu must be held.
+func (h *Hub) broadcast(m proto.Update, to audience) {
 	if len(h.subscribers) == 0 {
 		return
 	}
 	e := h.encode(m)
 	for s := range h.subscribers {
-		s.conn.SendEncoded(e)
+		if to(s) {
+			s.conn.SendEncoded(e)
+		}
 	}
 }
 
@@ -189,21 +218,18 @@
 	if !ok || first.Subscribe == nil {
 		return
 	}
-	request := *first.Subscribe
-	s := &subscriber{conn: c, address: request.Address, zone: request.Zone}
-	h.subscribe(s, request.Version)
-	if request.Digest == 0 || request.Digest != h.Digest() {
-		// Records that are published from now on may arrive before these.
-		c.SendEncoded(h.encodedServers())
-	}
-	h.logSubscriber("instanceLinked", request)
+	s := &subscriber{conn: c, address: first.Subscribe.Address, zone: first.Subscribe.Zone}
+	h.subscribe(s, *first.Subscribe)
 	for m := range c.Messages() {
+		if m.Subscribe != nil {
+			h.subscribe(s, *m.Subscribe)
+		}
 		if len(m.Failures) > 0 && h.OnFailures != nil {
 			h.OnFailures(m.Failures)
 		}
 	}
 	h.unsubscribe(s)
-	h.logSubscriber("instanceUnlinked", request)
+	h.logSubscriber("instanceUnlinked", *first.Subscribe)
 }
 
 // encodedServers returns all records. The encoding is reused until a record changes.
@@ -227,20 +253,32 @@
 	if h.Log == nil {
 		return
 	}
-	h.Log.WithFields(logrus.Fields{
-		"instance": request.Instance, "zone": request.Zone, "version": request.Version}).Info(event)
+	h.Log.WithFields(logrus.Fields{"instance": request.Instance, "zone": request.Zone,
+		"version": request.Version, "standby": request.Standby}).Info(event)
+}
+
+// subscribe adds a subscriber or changes its subscription, and brings an active one up
+// to date.
+func (h *Hub) subscribe(s *subscriber, request proto.Subscribe) {
+	h.logSubscriber("instanceLinked", request)
+	h.addSubscriber(s, request)
+	if !request.Standby && (request.Digest == 0 || request.Digest != h.Digest()) {
+		// Records that are published from now on may arrive before these.
+		s.conn.SendEncoded(h.encodedServers())
+	}
 }
 
-// subscribe adds a subscriber, whose configuration has the given version, and sends it
-// the complete current configuration if the versions differ.
-func (h *Hub) subscribe(s *subscriber, version uint64) {
+// addSubscriber adds a subscriber and sends it the complete current configuration if
+// it has another version.
+func (h *Hub) addSubscriber(s *subscriber, request proto.Subscribe) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	s.standby = request.Standby
 	contact := h.contact
-	first := proto.Update{Replicas: h.replicas, Contact: &contact}
-	if h.config.Version > 0 {
+	first := proto.Update{Replicas: h.replicas, ReplicaZones: h.zones, Contact: &contact, Version: h.config.Version}
+	if !s.standby && h.config.Version > 0 {
 		s.sent = h.config
-		if version != h.config.Version {
+		if request.Version != h.config.Version {
 			delta := config.Diff(config.Configuration{}, h.config)
 			first.Config = &delta
 		}
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -64,9 +64,7 @@
 	if contact {
 		r.contactAt.Store(int64(now))
 	}
-	if r.registry.hub.SetContact(contact) {
-		r.log.WithField("contact", contact).Info("contactChanged")
-	}
+	r.registry.updateContact()
 	voter := r.node.IsVoter(r.id)
 	if (!voter || !contact) && now-r.joinSentAt >= joinInterval {
 		r.joinSentAt = now
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -90,6 +90,8 @@
 	Bind netip.AddrPort
 	// Seeds are link addresses of replicas, from which the others are discovered.
 	Seeds []netip.AddrPort
+	// Zone is the availability zone of the replica, or "" if that is unknown.
+	Zone string
 	// Bootstrap makes the replica an initial voter if its data directory is empty and
 	// it is one of the seeds.
 	Bootstrap bool
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"boragepost/core/quorum"
 	"boragepost/core/roster"
 	"boragepost/io/feed"
 	"boragepost/io/logs"
@@ -30,6 +31,8 @@
 	confirmed map[uint64]departure
 	journal   journal
 	batcher   feed.Batcher // of records for the other replicas
+	// zones holds the availability zones of the replicas by address.
+	zones map[string]string
 	// fullSyncAt is when the complete roster was last sent to each replica.
 	fullSyncAt map[string]time.Duration
 }
@@ -69,6 +72,8 @@
 	g.ackWaits = map[uint64]*ackWait{}
 	g.confirmed = map[uint64]departure{}
 	g.fullSyncAt = map[string]time.Duration{}
+	g.zones = map[string]string{}
+	g.setZone(r.id, r.cfg.Zone)
 	g.restoreCheckpoint()
 }
 
@@ -211,6 +216,7 @@
 func (g *registry) handleLiveness(m proto.Liveness) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setZone(m.From, m.Zone)
 	now := g.r.now()
 	changed := g.roster.MergeHeartbeats(now, m.Heartbeats)
 	g.logChanges("replica", changed)
@@ -283,11 +289,12 @@
 
 func (g *registry) tick() {
 	g.r.outliers.expire(g.r.now())
+	g.updateContact()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roster.Expire(g.r.now())
 	g.r.mesh.broadcast(proto.ToPlane{Liveness: &proto.Liveness{
-		From: g.r.id, Heartbeats: g.roster.TakeHeartbeats(), Digest: g.roster.Digest()}})
+		From: g.r.id, Zone: g.r.cfg.Zone, Heartbeats: g.roster.TakeHeartbeats(), Digest: g.roster.Digest()}})
 	if !g.r.InContact() {
 		g.contactSince = g.r.now() // the other replicas' heartbeats do not arrive here
 		return
@@ -298,6 +305,25 @@
 	}
 }
 
+// updateContact publishes whether the replica is in contact with a leader. The event
+// loop cannot publish that while it waits for the disk.
+func (g *registry) updateContact() {
+	contact := g.r.InContact()
+	if g.hub.SetContact(contact) {
+		g.r.log.WithField("contact", contact).Info("contactChanged")
+	}
+}
+
+// setZone records the availability zone of a replica.
+func (g *registry) setZone(id, zone string) {
+	address := quorum.AddressOf(id)
+	if zone == "" || g.zones[address] == zone {
+		return
+	}
+	g.zones[address] = zone
+	g.hub.SetReplicaZones(g.zones)
+}
+
 // logChanges writes one line for each backend server that changed.
 func (g *registry) logChanges(source string, changed []roster.Server) {
 	for _, s := range changed {
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -56,6 +56,8 @@
 	From       string             `cbor:"1,keyasint"`
 	Heartbeats []roster.Heartbeat `cbor:"2,keyasint,omitempty"`
 	Digest     uint64             `cbor:"3,keyasint,omitempty"`
+	// Zone is the sender's availability zone.
+	Zone string `cbor:"4,keyasint,omitempty"`
 }
 
 // RosterAck acknowledges that the departures among the records with a serial are on disk.
@@ -85,7 +87,8 @@
 	Failures []load.Failures `cbor:"2,keyasint,omitempty"`
 }
 
-// Subscribe is the first message of an entry instance on a link.
+// Subscribe is the first message of an entry instance on a link. It is sent again to
+// change between the active source of updates and a standby.
 type Subscribe struct {
 	Instance string `cbor:"1,keyasint"`
 	Zone     string `cbor:"2,keyasint"`
@@ -95,6 +98,9 @@
 	Address string `cbor:"4,keyasint,omitempty"`
 	// Digest is the digest of the instance's backend servers; 0 for none.
 	Digest uint64 `cbor:"5,keyasint,omitempty"`
+	// Standby asks for no configurations, backend servers and ejections, but for the
+	// version of the configuration.
+	Standby bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Update carries changes to an entry instance. The first updates on a link bring the
@@ -111,4 +117,9 @@
 	Peers []string `cbor:"5,keyasint,omitempty"`
 	// Ejections are backend servers to avoid for some time.
 	Ejections []load.Ejection `cbor:"6,keyasint,omitempty"`
+	// ReplicaZones are the availability zones of control replicas by address, if they
+	// have changed.
+	ReplicaZones map[string]string `cbor:"7,keyasint,omitempty"`
+	// Version is the version of the sender's configuration, for a standby link.
+	Version uint64 `cbor:"8,keyasint,omitempty"`
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -250,37 +251,48 @@
 		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
 	})
 
-	It("transfers the complete state from one replica only", func() {
-		replicas := []*replica{startReplica(), startReplica(), startReplica()}
+	It("receives updates from one replica, and from a standby when that one is lost", func() {
+		var replicas []*replica
 		var seeds []netip.AddrPort
-		for _, replica := range replicas {
+		for range 3 {
+			replica := startReplica()
 			replica.hub.Configure(version(1, routeAddress))
 			replica.add(server())
-			seeds = append(seeds, replica.address())
+			replicas, seeds = append(replicas, replica), append(seeds, replica.address())
 		}
 		r := start("a", seeds...)
 		Eventually(r.Ready, timeout).Should(BeTrue())
-		fullSyncs := 0
-		for _, replica := range replicas {
-			Eventually(replica.hub.SubscriberCount, timeout).Should(Equal(1))
+		subscribers := func() (n int) {
+			for _, replica := range replicas {
+				n += replica.hub.SubscriberCount()
+			}
+			return n
+		}
+		fullSyncs := func(replica *replica) int {
 			replica.mu.Lock()
-			fullSyncs += replica.fullSyncs
-			replica.mu.Unlock()
+			defer replica.mu.Unlock()
+			return replica.fullSyncs
 		}
-		Expect(fullSyncs).To(Equal(1))
-		for _, replica := range replicas[:2] {
-			replica.stop()
+		Eventually(subscribers, timeout).Should(Equal(2), "an active source and a standby")
+		active := slices.IndexFunc(replicas, func(replica *replica) bool { return fullSyncs(replica) > 0 })
+		replicas[active].stop()
+		replicas = slices.Delete(replicas, active, active+1)
+		for _, replica := range replicas {
+			Expect(fullSyncs(replica)).To(BeZero(), "only one transfers the complete state")
 		}
 		send(r, 1)
 		Expect(receive(backend)).To(Equal("\x01\x07\x07"))
-		replicas[2].hub.Configure(version(2))
+		for _, replica := range replicas {
+			replica.hub.Configure(version(2))
+		}
 		Eventually(func() string {
 			send(r, 1)
 			caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 			buf := make([]byte, 100)
 			size, _ := caller.Read(buf)
 			return string(buf[:size])
-		}, timeout).Should(Equal("reset"), "the third link delivers the update")
+		}, timeout).Should(Equal("reset"), "the standby delivers the update")
+		Eventually(subscribers, timeout).Should(Equal(2), "another standby replaces the former one")
 	})
 
 	It("syncs from another replica when the first one has no configuration", func() {
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -13,67 +13,71 @@
 
 	"boragepost/core/config"
 	"boragepost/core/load"
+	"boragepost/core/source"
 	"boragepost/io/links"
 	"boragepost/io/proto"
 	"boragepost/io/timer"
 )
 
 const (
-	// maxLinks is the number of replicas that an instance subscribes to. When two
-	// of them fail or are partitioned, the third still delivers updates.
-	maxLinks = 3
-	// maintainInterval is how often links are checked and replaced.
-	maintainInterval = 500 * time.Millisecond
-	// unusableTimeout is how long a link may be down, or lead to a replica without
-	// contact with the leader, before it is replaced. It leaves half of 3 s, the
-	// shortest deadline for a change to come into force.
-	unusableTimeout = 1200 * time.Millisecond
-	// initialSyncTimeout is how long the other links wait for the initial sync of
-	// the first one. It equals the time in which a silent link is detected.
-	initialSyncTimeout = 3 * proto.LinkHeartbeat
+	// maintainInterval is how often links are checked and replaced, besides after each
+	// change of a link.
+	maintainInterval = 250 * time.Millisecond
+	// peerDelay is how long an instance waits for a usable replica before it
+	// subscribes to another entry instance. It leaves half of 3 s, the shortest
+	// deadline for a change to come into force.
+	peerDelay = 1200 * time.Millisecond
 )
 
 type replicaConn = links.Conn[proto.ToFeed, proto.Update]
 
-// upstream keeps links to a few control replicas and, while none of these links is
-// usable, to another entry instance.
+// upstream keeps the links that its selector chooses to control replicas and, while
+// none of these links is usable, one to another entry instance.
 type upstream struct {
-	r                *Relay
-	mu               sync.Mutex
-	seeds            []string
-	replicaAddresses []string                // addresses of replicas, seeds included
-	peerAddresses    []string                // addresses of entry instances
-	links            map[string]*replicaLink // to replicas, by address
-	peer             *replicaLink            // to an entry instance; nil while a link to a replica is usable
-	usableAt         time.Duration           // when a link to a replica was last usable
-	syncedAt         atomic.Int64            // time of the first configuration; far in the future before it
-	// first is the link that transfers the complete state after a start. The others
-	// subscribe once initialSync is closed, so that the state is not transferred on
-	// each of them.
-	first           *replicaLink
-	initialSync     chan struct{}
-	initialSyncOnce sync.Once
+	r             *Relay
+	mu            sync.Mutex
+	selector      source.Selector
+	seeds         []string
+	replicas      []string                // addresses that the sources have named
+	peerAddresses []string                // addresses of entry instances
+	links         map[string]*replicaLink // to replicas, by address
+	active        string                  // address of the active source
+	peer          *replicaLink            // to an entry instance; nil while a link to a replica is usable
+	usableAt      time.Duration           // when a link to a replica was last usable
+	syncedAt      atomic.Int64            // time of the first configuration; far in the future before it
 }
 
 // replicaLink is a link to a replica, or to the entry instance that is used while no
 // link to a replica is usable.
 type replicaLink struct {
-	address       string
-	client        *links.Client[proto.ToFeed, proto.Update]
-	close         context.CancelFunc
-	up            bool
-	contact       bool
-	unusableSince time.Duration // since when it is down or without contact
+	address string
+	client  *links.Client[proto.ToFeed, proto.Update]
+	close   context.CancelFunc
+
+	// The following fields are guarded by upstream.mu.
+	conn          *replicaConn // nil while the link is down
+	mode          linkMode
+	contact       bool          // of a link to an entry instance
+	unusableSince time.Duration // of a link to an entry instance
+
 	// config is the last configuration received on this link, the base of the next
-	// delta on it. Another link may have delivered a newer one. It is set before the
-	// link subscribes; after that only the link's receiving goroutine uses it.
+	// delta on it. Another link may have delivered a newer one. Relay.mu guards it.
 	config config.Configuration
 }
 
+// linkMode is the subscription that was sent on a link.
+type linkMode uint8
+
+const (
+	unsubscribed linkMode = iota
+	standby
+	active
+)
+
 func (u *upstream) init(r *Relay) {
 	u.r = r
 	u.links = map[string]*replicaLink{}
-	u.initialSync = make(chan struct{})
+	u.selector.Zone, u.selector.Rand = r.cfg.Zone, rand.IntN
 	u.syncedAt.Store(int64(1<<62 - 1))
 	r.SetSeeds(r.cfg.Seeds)
 	u.maintain()
@@ -97,20 +101,14 @@
 	for _, s := range seeds {
 		u.seeds = append(u.seeds, s.String())
 	}
-	u.replicaAddresses = union(u.seeds, u.replicaAddresses)
+	u.selector.SetKnown(union(u.seeds, u.replicas))
 }
 
 // linkedReplicas returns the number of replicas whose link is up.
 func (u *upstream) linkedReplicas() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	n := 0
-	for _, l := range u.links {
-		if l.up {
-			n++
-		}
-	}
-	return n
+	return u.selector.LinksUp()
 }
 
 // union returns the sorted union of two lists of addresses.
@@ -118,37 +116,62 @@
 	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
 }
 
-// maintain closes at most one link that has been unusable for too long, and opens
-// links to other replicas up to maxLinks.
+// maintain carries out the selector's decision on the links to replicas, and keeps a
+// link to another entry instance while none of them is usable.
 func (u *upstream) maintain() {
+	u.r.mu.Lock()
+	defer u.r.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var spare []string
-	for _, a := range u.replicaAddresses {
-		if u.links[a] == nil {
-			spare = append(spare, a)
+	now := u.r.now()
+	current, _ := u.r.balancer.Config()
+	actions := u.selector.Step(now, current.Version)
+	for _, a := range actions.Close {
+		u.links[a].close()
+		delete(u.links, a)
+	}
+	for _, a := range actions.Open {
+		u.links[a] = u.open(a)
+	}
+	u.setActive(actions.Active)
+	u.maintainPeer(now)
+}
+
+// setActive subscribes to the active source, and makes the other links standbys.
+func (u *upstream) setActive(address string) {
+	if address != u.active {
+		u.r.log.WithField("replica", address).WithField("former", u.active).Info("sourceChanged")
+		u.active = address
+	}
+	for a, l := range u.links {
+		mode := standby
+		if a == address {
+			mode = active
 		}
+		u.subscribe(l, mode)
 	}
-	rand.Shuffle(len(spare), func(i, j int) { spare[i], spare[j] = spare[j], spare[i] })
-	if worst := u.longestUnusable(); worst != nil && len(spare) > 0 {
-		worst.close()
-		delete(u.links, worst.address)
+}
+
+// subscribe sends a subscription on a link that is up, unless it was sent before.
+// Relay.mu and u.mu must be held.
+func (u *upstream) subscribe(l *replicaLink, mode linkMode) {
+	if l.conn == nil || l.mode == mode {
+		return
 	}
-	for len(u.links) < maxLinks && len(spare) > 0 {
-		u.links[spare[0]] = u.open(spare[0])
-		spare = spare[1:]
+	l.mode = mode
+	request := proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Address: u.r.cfg.Link.String(), Standby: mode == standby}
+	if mode == active {
+		l.config, _ = u.r.balancer.Config()
+		request.Version, request.Digest = l.config.Version, u.r.balancer.Digest()
+		u.r.log.WithField("replica", l.address).WithField("version", request.Version).Info("replicaFollowed")
 	}
-	u.maintainPeer()
+	l.conn.Send(proto.ToFeed{Subscribe: &request})
 }
 
 // maintainPeer keeps a link to another entry instance while no replica's link is
 // usable, and replaces it when it is unusable as well.
-func (u *upstream) maintainPeer() {
-	now := u.r.now()
-	usable := false
-	for _, l := range u.links {
-		usable = usable || l.up && l.contact
-	}
+func (u *upstream) maintainPeer(now time.Duration) {
+	usable := u.selector.Usable()
 	if usable {
 		u.usableAt = now
 	}
@@ -157,34 +180,20 @@
 		u.peer.close()
 		u.peer = nil
 	}
-	if u.peer == nil && now-u.usableAt >= unusableTimeout && len(u.peerAddresses) > 0 {
+	if u.peer == nil && now-u.usableAt >= peerDelay && len(u.peerAddresses) > 0 {
 		u.peer = u.open(u.peerAddresses[rand.IntN(len(u.peerAddresses))])
+		u.peer.unusableSince = now
 	}
 }
 
-// isUnusable reports whether a link has been down or without contact for at least
-// unusableTimeout.
+// isUnusable reports whether a link to an entry instance has been down or without
+// contact for at least peerDelay.
 func (l *replicaLink) isUnusable(now time.Duration) bool {
-	return !(l.up && l.contact) && now-l.unusableSince >= unusableTimeout
-}
-
-// longestUnusable returns the link that has been unusable for longest, or nil when
-// none has been for unusableTimeout.
-func (u *upstream) longestUnusable() *replicaLink {
-	var worst *replicaLink
-	for _, l := range u.links {
-		if !l.isUnusable(u.r.now()) {
-			continue
-		}
-		if worst == nil || l.unusableSince < worst.unusableSince {
-			worst = l
-		}
-	}
-	return worst
+	return !(l.conn != nil && l.contact) && now-l.unusableSince >= peerDelay
 }
 
 func (u *upstream) open(address string) *replicaLink {
-	l := &replicaLink{address: address, unusableSince: u.r.now()}
+	l := &replicaLink{address: address}
 	ctx, cancel := context.WithCancel(u.r.ctx)
 	l.close = cancel
 	l.client = links.NewClient(ctx, address, proto.RelayPath, links.Options[proto.ToFeed, proto.Update]{
@@ -199,107 +208,90 @@
 
 func (u *upstream) opened(l *replicaLink, c *replicaConn) {
 	u.r.log.WithField("replica", l.address).Info("replicaFound")
-	u.mu.Lock()
-	l.up, l.unusableSince = true, u.r.now()
-	u.mu.Unlock()
-	go u.subscribe(l, c)
-}
-
-// subscribe requests updates on a link. All links but the first wait for the
-// initial sync.
-func (u *upstream) subscribe(l *replicaLink, c *replicaConn) {
-	if !u.isFirst(l) {
-		u.awaitInitialSync(c)
-	}
-	u.r.mu.Lock()
-	current, _ := u.r.balancer.Config()
-	digest := u.r.balancer.Digest()
-	u.r.mu.Unlock()
-	u.mu.Lock()
-	l.config, l.unusableSince = current, u.r.now()
-	u.mu.Unlock()
-	c.Send(proto.ToFeed{Subscribe: &proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone,
-		Version: current.Version, Address: u.r.cfg.Link.String(), Digest: digest}})
-	u.r.log.WithField("replica", l.address).WithField("version", current.Version).Info("replicaFollowed")
-}
-
-// isFirst reports whether l is the first link that was opened.
-func (u *upstream) isFirst(l *replicaLink) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.first == nil {
-		u.first = l
+	u.setConn(l, c)
+	if u.isPeer(l) {
+		u.r.mu.Lock()
+		defer u.r.mu.Unlock()
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.subscribe(l, active)
+		return
 	}
-	return u.first == l
+	u.maintain()
 }
 
-// awaitInitialSync waits until the first link has completed or abandoned the
-// initial sync, the timeout expires, or c ends.
-func (u *upstream) awaitInitialSync(c *replicaConn) {
-	timeout := time.NewTimer(initialSyncTimeout)
-	defer timeout.Stop()
-	select {
-	case <-u.initialSync:
-	case <-timeout.C:
-	case <-c.Done():
-	}
+func (u *upstream) closed(l *replicaLink) {
+	u.r.log.WithField("replica", l.address).Warn("replicaLost")
+	u.setConn(l, nil)
+	u.maintain()
 }
 
-// finishInitialSync lets the other links subscribe.
-func (u *upstream) finishInitialSync() { u.initialSyncOnce.Do(func() { close(u.initialSync) }) }
-
-// checkInitialSync finishes the initial sync if an update on the first link shows
-// that it is complete or that the replica has no configuration yet.
-func (u *upstream) checkInitialSync(l *replicaLink, m proto.Update, configured bool) {
+// setConn records that a link is up on a connection, or down if it is nil.
+func (u *upstream) setConn(l *replicaLink, c *replicaConn) {
 	u.mu.Lock()
-	first := u.first == l
-	u.mu.Unlock()
-	if first && (!configured || len(m.Servers) > 0) {
-		u.finishInitialSync()
+	defer u.mu.Unlock()
+	now := u.r.now()
+	l.conn, l.mode, l.contact, l.unusableSince = c, unsubscribed, false, now
+	switch {
+	case u.links[l.address] != l: // a link to an entry instance, or one that was closed
+	case c != nil:
+		u.selector.Connected(now, l.address)
+	default:
+		u.selector.Disconnected(now, l.address)
 	}
 }
 
-func (u *upstream) closed(l *replicaLink) {
-	u.r.log.WithField("replica", l.address).Warn("replicaLost")
+// isPeer reports whether a link leads to another entry instance.
+func (u *upstream) isPeer(l *replicaLink) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	l.up, l.contact, l.unusableSince = false, false, u.r.now()
-	if u.first == l {
-		u.finishInitialSync()
-	}
+	return u.peer == l
 }
 
-// reportFailures sends observed request failures to one replica.
+// reportFailures sends observed request failures to the active source.
 func (u *upstream) reportFailures(failures []load.Failures) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, l := range u.links {
-		if l.up && l.contact && l.client.Send(proto.ToFeed{Failures: failures}) {
-			return
-		}
+	if l := u.links[u.active]; l != nil && l.conn != nil {
+		l.conn.Send(proto.ToFeed{Failures: failures})
 	}
 }
 
 func (u *upstream) received(l *replicaLink, m proto.Update) {
-	u.updateAddresses(l, m)
+	if u.updateSource(l, m) {
+		u.maintain()
+	}
 	u.r.applyUpdate(l, m)
 }
 
-// updateAddresses records the addresses in an update, and whether its sender is in
-// contact with the leader.
-func (u *upstream) updateAddresses(l *replicaLink, m proto.Update) {
+// updateSource records the addresses in an update, and what it says about its sender. It
+// reports whether that may change the selection of the source.
+func (u *upstream) updateSource(l *replicaLink, m proto.Update) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	now := u.r.now()
 	if m.Contact != nil {
-		l.contact, l.unusableSince = *m.Contact, u.r.now()
+		l.contact, l.unusableSince = *m.Contact, now
+	}
+	if u.links[l.address] == l {
+		if m.Contact != nil {
+			u.selector.ReportContact(now, l.address, *m.Contact)
+		}
+		u.selector.ReportVersion(now, l.address, m.Version)
 	}
 	if len(m.Replicas) > 0 {
-		u.replicaAddresses = union(u.seeds, m.Replicas)
+		u.replicas = m.Replicas
+		u.selector.SetKnown(union(u.seeds, u.replicas))
 		u.r.hub.SetReplicas(m.Replicas)
 	}
+	if len(m.ReplicaZones) > 0 {
+		u.selector.SetZones(m.ReplicaZones)
+		u.r.hub.SetReplicaZones(m.ReplicaZones)
+	}
 	if len(m.Peers) > 0 {
 		u.peerAddresses = m.Peers
 	}
+	return m.Contact != nil || len(m.Replicas) > 0 || len(m.ReplicaZones) > 0
 }
 
 // applyUpdate applies the configuration, backend servers and ejections in an
@@ -320,11 +312,9 @@
 		r.balancer.Load.Eject(now, e)
 		r.flowLog.logEjection(l.address, e)
 	}
-	_, configured := r.balancer.Config()
-	if configured && int64(now) < r.upstream.syncedAt.Load() {
+	if _, configured := r.balancer.Config(); configured && int64(now) < r.upstream.syncedAt.Load() {
 		r.upstream.syncedAt.Store(int64(now))
 	}
-	r.upstream.checkInitialSync(l, m, configured)
 	r.retryHeld(now)
 }
 
