Compress the complete state and log the first records in one line

From the start of an entry instance to the first packet that it forwarded passed 0.48 s at the median and 1.10 s at the 99th percentile: 0.07 s until the link was open, 0.10 s for the configuration and 0.10 s for the first record on a link of 2 Mbit/s, and 0.22 s from there, in which it merged 411 records by n² steps and wrote a log line for each, under the lock of the packet path. Ruled out: the start of the program (5 ms of processor time), the election (entry instances are served from the checkpoint before it). Change: the configuration and the records are sent as deflated updates, encoded once for all subscribers that accept them, so that older builds get plain ones. The first records of an instance get one line.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -287,6 +287,9 @@
 // gone.
 func (b *CookieBalancer) Servers() []roster.Server { return slices.Collect(b.roster.All()) }
 
+// ServerCount returns the number of backend servers known, including those that are gone.
+func (b *CookieBalancer) ServerCount() int { return b.roster.Len() }
+
 // Digest returns the digest of the records of all backend servers.
 func (b *CookieBalancer) Digest() uint64 { return b.roster.Digest() }
 
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -61,8 +61,8 @@
 	contact     bool
 	subscribers map[*subscriber]bool
 	batcher     Batcher
-	// encodedAll caches the encoded records for new subscribers; nil when outdated.
-	encodedAll *links.Encoded[proto.Update]
+	// completeServers and completeConfig cache the encoded state for new subscribers.
+	completeServers, completeConfig encodedUpdate
 	// publishCount counts the calls of PublishServers, to detect those that run during a
 	// call of AllServers.
 	publishCount uint64
@@ -74,8 +74,10 @@
 	address string
 	zone    string
 	standby bool
-	sent    config.Configuration // base of its next delta
-	peers   []string
+	// compression is set if it accepts compressed updates.
+	compression bool
+	sent        config.Configuration // base of its next delta
+	peers       []string
 }
 
 // Handler serves the links of subscribers until ctx ends.
@@ -98,6 +100,7 @@
 		return
 	}
 	h.config = c
+	h.completeConfig = encodedUpdate{}
 	deltas := map[uint64]links.Encoded[proto.Update]{} // by base version
 	notice := h.encode(proto.Update{Version: c.Version})
 	for s := range h.subscribers {
@@ -127,7 +130,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.encodedAll = nil
+	h.completeServers = encodedUpdate{}
 	h.publishCount++
 	h.batcher.Add(changed, h.broadcastServers)
 }
@@ -232,21 +235,54 @@
 	h.logSubscriber("instanceUnlinked", *first.Subscribe)
 }
 
+// encodedUpdate is an update as it is sent to subscribers that accept compression and to
+// others. The zero value is outdated.
+type encodedUpdate struct {
+	compressed, plain links.Encoded[proto.Update]
+	valid             bool
+}
+
+func (h *Hub) encodeBoth(m proto.Update) encodedUpdate {
+	compressed, err := m.Compress()
+	if err != nil && h.Log != nil {
+		h.Log.WithError(err).Error("updateNotEncoded")
+	}
+	return encodedUpdate{compressed: h.encode(compressed), plain: h.encode(m), valid: true}
+}
+
+// sendTo sends the update to a subscriber.
+func (e encodedUpdate) sendTo(s *subscriber) {
+	if s.compression {
+		s.conn.SendEncoded(e.compressed)
+		return
+	}
+	s.conn.SendEncoded(e.plain)
+}
+
 // encodedServers returns all records. The encoding is reused until a record changes.
-func (h *Hub) encodedServers() links.Encoded[proto.Update] {
+func (h *Hub) encodedServers() encodedUpdate {
 	h.mu.Lock()
-	encodedAll, publishCount := h.encodedAll, h.publishCount
+	complete, publishCount := h.completeServers, h.publishCount
 	h.mu.Unlock()
-	if encodedAll != nil {
-		return *encodedAll
+	if complete.valid {
+		return complete
 	}
-	e := h.encode(proto.Update{Servers: h.AllServers()})
+	complete = h.encodeBoth(proto.Update{Servers: h.AllServers()})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.publishCount == publishCount {
-		h.encodedAll = &e
+		h.completeServers = complete
 	}
-	return e
+	return complete
+}
+
+// encodedConfig returns the complete configuration. h.mu must be held.
+func (h *Hub) encodedConfig() encodedUpdate {
+	if !h.completeConfig.valid {
+		delta := config.Diff(config.Configuration{}, h.config)
+		h.completeConfig = h.encodeBoth(proto.Update{Config: &delta})
+	}
+	return h.completeConfig
 }
 
 func (h *Hub) logSubscriber(event string, request proto.Subscribe) {
@@ -264,7 +300,7 @@
 	h.addSubscriber(s, request)
 	if !request.Standby && (request.Digest == 0 || request.Digest != h.Digest()) {
 		// Records that are published from now on may arrive before these.
-		s.conn.SendEncoded(h.encodedServers())
+		h.encodedServers().sendTo(s)
 	}
 }
 
@@ -273,17 +309,15 @@
 func (h *Hub) addSubscriber(s *subscriber, request proto.Subscribe) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s.standby = request.Standby
+	s.standby, s.compression = request.Standby, request.Compression
 	contact := h.contact
-	first := proto.Update{Replicas: h.replicas, ReplicaZones: h.zones, Contact: &contact, Version: h.config.Version}
+	s.conn.Send(proto.Update{Replicas: h.replicas, ReplicaZones: h.zones, Contact: &contact, Version: h.config.Version})
 	if !s.standby && h.config.Version > 0 {
 		s.sent = h.config
 		if request.Version != h.config.Version {
-			delta := config.Diff(config.Configuration{}, h.config)
-			first.Config = &delta
+			h.encodedConfig().sendTo(s)
 		}
 	}
-	s.conn.Send(first)
 	if h.subscribers == nil {
 		h.subscribers = map[*subscriber]bool{}
 	}
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -338,11 +338,13 @@
 			},
 			Received: func(m proto.Update) { updates <- m },
 		})
-		var first proto.Update
+		var first, second proto.Update
 		Eventually(updates, timeout).Should(Receive(&first))
-		Expect(first.Config).NotTo(BeNil())
-		Expect(first.Config.ToVersion).To(Equal(uint64(4)))
 		Expect(*first.Contact).To(BeFalse())
+		Expect(first.Version).To(Equal(uint64(4)))
+		Eventually(updates, timeout).Should(Receive(&second))
+		Expect(second.Config).NotTo(BeNil())
+		Expect(second.Config.ToVersion).To(Equal(uint64(4)))
 		_, err := alone.ReadLatest(withTimeout(300 * time.Millisecond))
 		Expect(err).To(MatchError(plane.ErrNoQuorum), "a checkpoint must not serve linearizable reads")
 	})
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -101,6 +101,8 @@
 	// Standby asks for no configurations, backend servers and ejections, but for the
 	// version of the configuration.
 	Standby bool `cbor:"6,keyasint,omitempty"`
+	// Compression reports that the instance accepts compressed updates.
+	Compression bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Update carries changes to an entry instance. The first updates on a link bring the
@@ -122,4 +124,6 @@
 	ReplicaZones map[string]string `cbor:"7,keyasint,omitempty"`
 	// Version is the version of the sender's configuration, for a standby link.
 	Version uint64 `cbor:"8,keyasint,omitempty"`
+	// Compressed is a deflated update, which replaces all other fields (Expand).
+	Compressed []byte `cbor:"9,keyasint,omitempty"`
 }
--- a/io/relay/flowlog.go
+++ b/io/relay/flowlog.go
@@ -126,10 +126,16 @@
 	}
 }
 
-// logServers logs backend servers whose routing has changed.
-func (t *flowLog) logServers(replica string, changed []roster.Server) {
+// logServers logs backend servers whose routing has changed. The first records of an
+// instance, which are those of the whole deployment, get one line.
+func (t *flowLog) logServers(replica string, changed []roster.Server, initial bool) {
+	log := t.r.log.WithField("replica", replica)
+	if initial {
+		log.WithField("servers", len(changed)).Info("serversReceived")
+		return
+	}
 	for _, s := range changed {
-		t.r.log.WithFields(logs.ServerFields(s)).WithField("replica", replica).Info("serverChanged")
+		log.WithFields(logs.ServerFields(s)).Info("serverChanged")
 	}
 }
 
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -159,7 +159,8 @@
 		return
 	}
 	l.mode = mode
-	request := proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Address: u.r.cfg.Link.String(), Standby: mode == standby}
+	request := proto.Subscribe{Instance: u.r.cfg.Name, Zone: u.r.cfg.Zone, Address: u.r.cfg.Link.String(),
+		Standby: mode == standby, Compression: true}
 	if mode == active {
 		l.config, _ = u.r.balancer.Config()
 		request.Version, request.Digest = l.config.Version, u.r.balancer.Digest()
@@ -257,7 +258,13 @@
 	}
 }
 
-func (u *upstream) received(l *replicaLink, m proto.Update) {
+func (u *upstream) received(l *replicaLink, received proto.Update) {
+	m, err := received.Expand()
+	if err != nil {
+		u.r.log.WithError(err).WithField("replica", l.address).Warn("updateNotDecoded")
+		l.client.Reconnect() // a new connection starts with the complete state
+		return
+	}
 	if u.updateSource(l, m) {
 		u.maintain()
 	}
@@ -304,8 +311,9 @@
 		r.applyDelta(l, m)
 	}
 	if len(m.Servers) > 0 {
+		initial := r.balancer.ServerCount() == 0
 		changed := r.balancer.UpdateServers(now, m.Servers)
-		r.flowLog.logServers(l.address, changed)
+		r.flowLog.logServers(l.address, changed, initial)
 		r.hub.PublishServers(changed)
 	}
 	for _, e := range m.Ejections {
