Do not count requests as stuck when flows were distributed anew

Cause: an instance sees the acknowledgement of a response only if the flow still passes it. Change: requests that began before many flows of other instances arrived do not count, and an instance that shuts down reports none. The new test of core/load failed before.

--- a/core/load/load.go
+++ b/core/load/load.go
@@ -113,6 +113,10 @@
 	// returned by TakeFailures.
 	failures  map[uint64]int
 	scannedAt time.Duration // time of the latest DetectStuckRequests
+	// arrivals counts the flows that began at other instances, and reroutedAt is when
+	// they were last so many that the network has distributed the flows anew.
+	arrivals   decayingSum
+	reroutedAt time.Duration
 }
 
 type server struct {
@@ -189,6 +193,9 @@
 		if !p.Data {
 			return
 		}
+		if f == nil {
+			t.recordArrival(now)
+		}
 		t.Open(now, key, id)
 		f = t.flows[key]
 	}
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -182,6 +182,38 @@
 		Expect(reported).To(Equal([]time.Duration{800 * ms}))
 	})
 
+	// When an instance joins or leaves, the network may send most flows to other
+	// instances. The responses to requests that passed here are then acknowledged
+	// elsewhere.
+	It("does not count requests as stuck whose flows may have moved to other instances", func() {
+		for key := range uint64(20) {
+			exchange(0, key, 1, 4000)
+		}
+		t.TakeFailures()
+		t.DetectStuckRequests(0)
+		for key := range uint64(10) {
+			t.Observe(0, 100+key, 1+key, load.Packet{Data: true, Ack: 9}) // moves away
+		}
+		for key := range uint64(10) {
+			t.Observe(100*ms, 200+key, 1+key, load.Packet{Data: true, Ack: 9}) // comes from elsewhere
+		}
+		const begin = 4 * time.Second
+		for now := 100 * ms; now < begin; now += 100 * ms {
+			t.DetectStuckRequests(now)
+			if now == 200*ms {
+				for key := range uint64(10) {
+					t.Observe(now, 200+key, 1+key, load.Packet{Ack: 4009})
+				}
+			}
+		}
+		Expect(t.TakeFailures()).To(BeEmpty())
+		t.Observe(begin, 200, 1, load.Packet{Data: true, Ack: 4009})
+		for now := begin; now < begin+2*time.Second; now += 100 * ms {
+			t.DetectStuckRequests(now)
+		}
+		Expect(t.TakeFailures()).To(Equal([]load.Failures{{ID: 1, Count: 1}}), "later requests count again")
+	})
+
 	It("does not count requests as stuck that waited during a pause of the process", func() {
 		t.DetectStuckRequests(0)
 		t.Observe(0, 100, 1, load.Packet{Data: true, Ack: 9})
--- a/core/load/responses.go
+++ b/core/load/responses.go
@@ -38,6 +38,11 @@
 	// retransmitted twice.
 	stuckFactor = 10
 	minStuck    = 700 * time.Millisecond
+	// The network has distributed the flows anew if, within about a second, at least
+	// minArrivals flows have come from other instances, and arrivalFraction of those
+	// that this instance tracks.
+	minArrivals     = 5
+	arrivalFraction = 0.25
 	// latencyGain is the weight of the latest response in the average latency.
 	latencyGain = 1.0 / 32
 	// maxScanGap is the time between two scans for stuck requests above which the
@@ -121,14 +126,23 @@
 	}
 }
 
+// recordArrival records a flow that began at another instance.
+func (t *Tracker) recordArrival(now time.Duration) {
+	if t.arrivals.add(now, 1) >= max(minArrivals, arrivalFraction*float64(len(t.flows))) {
+		t.reroutedAt = now
+	}
+}
+
 // DetectStuckRequests counts the requests that are stuck, each once, for
 // TakeFailures. It must be called about every 100 ms. The callers' packets give no
-// other sign of a backend server that hangs or resets its flows.
+// other sign of a backend server that hangs or resets its flows. Requests before the
+// network distributed the flows anew are not counted: their responses may be
+// acknowledged through other instances.
 func (t *Tracker) DetectStuckRequests(now time.Duration) {
 	gap := now - t.scannedAt
 	t.scannedAt = now
 	for _, f := range t.flows {
-		if f.state != awaitingResponse || f.stuck {
+		if f.state != awaitingResponse || f.stuck || t.reroutedAt > 0 && f.since <= t.reroutedAt {
 			continue
 		}
 		if gap > maxScanGap {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -226,7 +226,9 @@
 		r.balancer.Load.DetectStuckRequests(now)
 		failures := r.balancer.Load.TakeFailures()
 		r.mu.Unlock()
-		if len(failures) > 0 {
+		// The network takes the flows from an instance that shuts down, so their requests
+		// seem stuck.
+		if len(failures) > 0 && !r.shuttingDown.Load() {
 			r.upstream.reportFailures(failures)
 		}
 	}
