--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -1,6 +1,7 @@
 // Package feed publishes the configuration and the backend servers to subscribers. A
 // subscriber receives configurations as deltas against its last one, and the records
-// of backend servers that changed.
+// of backend servers that changed. A subscriber whose link is a standby receives only
+// the version of the configuration; it may change between both at any time.
 //
 // Entry instances subscribe to control replicas. An entry instance that has lost every
 // replica subscribes to another entry instance, so a Hub sends each subscriber the
@@ -17,6 +18,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -55,11 +57,12 @@
 	mu          sync.Mutex
 	config      config.Configuration
 	replicas    []string
+	zones       map[string]string // of replicas, by address
 	contact     bool
 	subscribers map[*subscriber]bool
 	batcher     Batcher
-	// encodedAll caches the encoded records for new subscribers; nil when outdated.
-	encodedAll *links.Encoded[proto.Update]
+	// completeServers and completeConfig cache the encoded state for new subscribers.
+	completeServers, completeConfig encodedUpdate
 	// publishCount counts the calls of PublishServers, to detect those that run during a
 	// call of AllServers.
 	publishCount uint64
@@ -70,8 +73,11 @@
 	conn    *conn
 	address string
 	zone    string
-	sent    config.Configuration // base of its next delta
-	peers   []string
+	standby bool
+	// compression is set if it accepts compressed updates.
+	compression bool
+	sent        config.Configuration // base of its next delta
+	peers       []string
 }
 
 // Handler serves the links of subscribers until ctx ends.
@@ -94,8 +100,14 @@
 		return
 	}
 	h.config = c
+	h.completeConfig = encodedUpdate{}
 	deltas := map[uint64]links.Encoded[proto.Update]{} // by base version
+	notice := h.encode(proto.Update{Version: c.Version})
 	for s := range h.subscribers {
+		if s.standby {
+			s.conn.SendEncoded(notice)
+			continue
+		}
 		if s.sent.Version >= c.Version {
 			continue
 		}
@@ -118,7 +130,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.encodedAll = nil
+	h.completeServers = encodedUpdate{}
 	h.publishCount++
 	h.batcher.Add(changed, h.broadcastServers)
 }
@@ -126,7 +138,7 @@
 func (h *Hub) broadcastServers(servers []roster.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.broadcast(proto.Update{Servers: servers})
+	h.broadcast(proto.Update{Servers: servers}, activeOnly)
 }
 
 // encode encodes an update. An error is a programming error, since updates hold plain
@@ -143,7 +155,7 @@
 func (h *Hub) PublishEjections(ejections []load.Ejection) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.broadcast(proto.Update{Ejections: ejections})
+	h.broadcast(proto.Update{Ejections: ejections}, activeOnly)
 }
 
 // SetReplicas sets the addresses of the control replicas and publishes them if they
@@ -154,7 +166,19 @@
 	changed := !slices.Equal(addresses, h.replicas)
 	h.replicas = addresses
 	if changed {
-		h.broadcast(proto.Update{Replicas: addresses})
+		h.broadcast(proto.Update{Replicas: addresses}, everyone)
+	}
+}
+
+// SetReplicaZones sets the availability zones of control replicas by address, and
+// publishes them if they have changed.
+func (h *Hub) SetReplicaZones(zones map[string]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := !maps.Equal(zones, h.zones)
+	h.zones = maps.Clone(zones)
+	if changed {
+		h.broadcast(proto.Update{ReplicaZones: h.zones}, everyone)
 	}
 }
 
@@ -167,19 +191,27 @@
 	changed := contact != h.contact
 	h.contact = contact
 	if changed {
-		h.broadcast(proto.Update{Contact: &contact})
+		h.broadcast(proto.Update{Contact: &contact}, everyone)
 	}
 	return changed
 }
 
-// broadcast sends an update to every subscriber. h.mu must be held.
-func (h *Hub) broadcast(m proto.Update) {
+// audience selects the subscribers that get an update.
+type audience func(*subscriber) bool
+
+func everyone(*subscriber) bool     { return true }
+func activeOnly(s *subscriber) bool { return !s.standby }
+
+// broadcast sends an update to an audience. h.mu must be held.
+func (h *Hub) broadcast(m proto.Update, to audience) {
 	if len(h.subscribers) == 0 {
 		return
 	}
 	e := h.encode(m)
 	for s := range h.subscribers {
-		s.conn.SendEncoded(e)
+		if to(s) {
+			s.conn.SendEncoded(e)
+		}
 	}
 }
 
@@ -189,63 +221,103 @@
 	if !ok || first.Subscribe == nil {
 		return
 	}
-	request := *first.Subscribe
-	s := &subscriber{conn: c, address: request.Address, zone: request.Zone}
-	h.subscribe(s, request.Version)
-	if request.Digest == 0 || request.Digest != h.Digest() {
-		// Records that are published from now on may arrive before these.
-		c.SendEncoded(h.encodedServers())
-	}
-	h.logSubscriber("instanceLinked", request)
+	s := &subscriber{conn: c, address: first.Subscribe.Address, zone: first.Subscribe.Zone}
+	h.subscribe(s, *first.Subscribe)
 	for m := range c.Messages() {
+		if m.Subscribe != nil {
+			h.subscribe(s, *m.Subscribe)
+		}
 		if len(m.Failures) > 0 && h.OnFailures != nil {
 			h.OnFailures(m.Failures)
 		}
 	}
 	h.unsubscribe(s)
-	h.logSubscriber("instanceUnlinked", request)
+	h.logSubscriber("instanceUnlinked", *first.Subscribe)
+}
+
+// encodedUpdate is an update as it is sent to subscribers that accept compression and to
+// others. The zero value is outdated.
+type encodedUpdate struct {
+	compressed, plain links.Encoded[proto.Update]
+	valid             bool
+}
+
+func (h *Hub) encodeBoth(m proto.Update) encodedUpdate {
+	compressed, err := m.Compress()
+	if err != nil && h.Log != nil {
+		h.Log.WithError(err).Error("updateNotEncoded")
+	}
+	return encodedUpdate{compressed: h.encode(compressed), plain: h.encode(m), valid: true}
+}
+
+// sendTo sends the update to a subscriber.
+func (e encodedUpdate) sendTo(s *subscriber) {
+	if s.compression {
+		s.conn.SendEncoded(e.compressed)
+		return
+	}
+	s.conn.SendEncoded(e.plain)
 }
 
 // encodedServers returns all records. The encoding is reused until a record changes.
-func (h *Hub) encodedServers() links.Encoded[proto.Update] {
+func (h *Hub) encodedServers() encodedUpdate {
 	h.mu.Lock()
-	encodedAll, publishCount := h.encodedAll, h.publishCount
+	complete, publishCount := h.completeServers, h.publishCount
 	h.mu.Unlock()
-	if encodedAll != nil {
-		return *encodedAll
+	if complete.valid {
+		return complete
 	}
-	e := h.encode(proto.Update{Servers: h.AllServers()})
+	complete = h.encodeBoth(proto.Update{Servers: h.AllServers()})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.publishCount == publishCount {
-		h.encodedAll = &e
+		h.completeServers = complete
 	}
-	return e
+	return complete
+}
+
+// encodedConfig returns the complete configuration. h.mu must be held.
+func (h *Hub) encodedConfig() encodedUpdate {
+	if !h.completeConfig.valid {
+		delta := config.Diff(config.Configuration{}, h.config)
+		h.completeConfig = h.encodeBoth(proto.Update{Config: &delta})
+	}
+	return h.completeConfig
 }
 
 func (h *Hub) logSubscriber(event string, request proto.Subscribe) {
 	if h.Log == nil {
 		return
 	}
-	h.Log.WithFields(logrus.Fields{
-		"instance": request.Instance, "zone": request.Zone, "version": request.Version}).Info(event)
+	h.Log.WithFields(logrus.Fields{"instance": request.Instance, "zone": request.Zone,
+		"version": request.Version, "standby": request.Standby}).Info(event)
+}
+
+// subscribe adds a subscriber or changes its subscription, and brings an active one up
+// to date.
+func (h *Hub) subscribe(s *subscriber, request proto.Subscribe) {
+	h.logSubscriber("instanceLinked", request)
+	h.addSubscriber(s, request)
+	if !request.Standby && (request.Digest == 0 || request.Digest != h.Digest()) {
+		// Records that are published from now on may arrive before these.
+		h.encodedServers().sendTo(s)
+	}
 }
 
-// subscribe adds a subscriber, whose configuration has the given version, and sends it
-// the complete current configuration if the versions differ.
-func (h *Hub) subscribe(s *subscriber, version uint64) {
+// addSubscriber adds a subscriber and sends it the complete current configuration if
+// it has another version.
+func (h *Hub) addSubscriber(s *subscriber, request proto.Subscribe) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	s.standby, s.compression = request.Standby, request.Compression
 	contact := h.contact
-	first := proto.Update{Replicas: h.replicas, Contact: &contact}
-	if h.config.Version > 0 {
+	s.conn.Send(proto.Update{Replicas: h.replicas, ReplicaZones: h.zones, Contact: &contact, Version: h.config.Version})
+	if !s.standby && h.config.Version > 0 {
 		s.sent = h.config
-		if version != h.config.Version {
-			delta := config.Diff(config.Configuration{}, h.config)
-			first.Config = &delta
+		if request.Version != h.config.Version {
+			h.encodedConfig().sendTo(s)
 		}
 	}
-	s.conn.Send(first)
 	if h.subscribers == nil {
 		h.subscribers = map[*subscriber]bool{}
 	}
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -15,6 +15,7 @@
 func (r *Replica) run() {
 	defer close(r.stopped)
 	defer r.store.Close()
+	defer r.diskWriterDone.Wait()
 	defer r.server.Close()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -63,9 +64,7 @@
 	if contact {
 		r.contactAt.Store(int64(now))
 	}
-	if r.registry.hub.SetContact(contact) {
-		r.log.WithField("contact", contact).Info("contactChanged")
-	}
+	r.registry.updateContact()
 	voter := r.node.IsVoter(r.id)
 	if (!voter || !contact) && now-r.joinSentAt >= joinInterval {
 		r.joinSentAt = now
@@ -74,7 +73,7 @@
 	known := slices.Compact(slices.Sorted(slices.Values(r.knownAddresses())))
 	r.mesh.link(known)
 	r.registry.hub.SetReplicas(known)
-	r.registry.setVoters(len(r.node.Voters()))
+	r.registry.setVoters(r.node.Voters())
 	r.expireReads(now)
 }
 
@@ -152,7 +151,7 @@
 	}
 	r.notifyApplied()
 	if version := r.state.Configuration.Version; version != before {
-		r.current.Store(&r.state.Configuration)
+		r.storeCurrent()
 		close(r.configChanged)
 		r.configChanged = make(chan struct{})
 		r.registry.hub.Configure(r.state.Configuration)
