Compare ways of placing also with unequal zones under overload

Two loads for TestPoliciesUnderOverload: zones of 1, 6 and 7 backend servers at 1.25 times and at 0.93 times the capacity. A try that was not kept: when each backend server of the own zone has a queue, those of other zones count as no less loaded unless their responses were faster. What is missing is knowledge of the load of other instances, not a threshold.

--- a/core/load/policy_test.go
+++ b/core/load/policy_test.go
@@ -132,11 +132,14 @@
 // with shared outlier detection, must be at least as good as the simple policies.
 func TestPolicies(t *testing.T) { comparePolicies(t, "policies", scenarios) }
 
-// TestPoliciesUnderOverload simulates a load of about 1.25 times the capacity of the
-// backend servers.
+// TestPoliciesUnderOverload simulates loads of about 1.25 times the capacity of the
+// backend servers, with as many of them in each availability zone and with most of them
+// in two, and one just below the capacity.
 func TestPoliciesUnderOverload(t *testing.T) {
 	comparePolicies(t, "overload", []scenario{
 		{name: "overload", instances: []int{2, 2, 2}, servers: []int{5, 5, 4}, slots: 2, perSecond: 1200},
+		{name: "overloadShort", instances: []int{2, 2, 2}, servers: []int{1, 6, 7}, slots: 2, perSecond: 1200},
+		{name: "fullShort", instances: []int{2, 2, 2}, servers: []int{1, 6, 7}, slots: 2, perSecond: 900},
 	})
 }
 
