Transfer only the records that differ between rosters

Cause: replicas compare digests of their rosters twice a second. While backend servers come and go a few records are always on their way, so the digests differ, and each replica sent the other its complete roster, at most once a second. At 3,000 backend servers that is 177 kB for each pair. An entry instance that changed its source got all records too. Change: the roster keeps 64 digests by identifier. A replica with another digest sends them, and receives the records of the buckets that differ; entry instances send theirs with their subscription.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -293,6 +293,14 @@
 // Digest returns the digest of the records of all backend servers.
 func (b *CookieBalancer) Digest() uint64 { return b.roster.Digest() }
 
+// BucketDigests returns the digests of the records by bucket (roster.Differing).
+func (b *CookieBalancer) BucketDigests() []uint64 { return b.roster.BucketDigests() }
+
+// Differing returns the records in the buckets with other digests than these.
+func (b *CookieBalancer) Differing(digests []uint64) []roster.Server {
+	return b.roster.Differing(digests)
+}
+
 // Count returns the number of backend servers in a phase.
 func (b *CookieBalancer) Count(phase roster.Phase) int { return b.roster.Count(phase) }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -113,7 +113,7 @@
 	// at holds what is known of each address.
 	at         map[netip.AddrPort]*tenancy
 	heartbeats map[uint64]Heartbeat // not yet returned by TakeHeartbeats
-	digest     uint64               // of all records
+	digests    [bucketCount]uint64  // of the records in each bucket
 }
 
 // tenancy is the succession of backend servers at one address.
@@ -177,7 +177,36 @@
 // Digest returns a hash of the properties of the records by which flows are placed.
 // Instances whose rosters have equal digests place flows alike. Records in phase
 // Gone are left out, because replicas expire them at different times.
-func (r *Roster) Digest() uint64 { return r.digest }
+func (r *Roster) Digest() uint64 {
+	digest := uint64(0)
+	for _, d := range r.digests {
+		digest ^= d
+	}
+	return digest
+}
+
+// bucketCount is the number of buckets over which the records are spread by identifier.
+// Rosters that differ in a few records differ in as many buckets, so that little more
+// than those has to be transferred.
+const bucketCount = 64
+
+func bucketOf(id uint64) int { return int(place.Mix(id, bucketCount) % bucketCount) }
+
+// BucketDigests returns the digests of the buckets.
+func (r *Roster) BucketDigests() []uint64 { return slices.Clone(r.digests[:]) }
+
+// Differing returns the records in the buckets whose digests differ from those of
+// another roster, ordered by identifier, or all records if digests has another length
+// than BucketDigests returns.
+func (r *Roster) Differing(digests []uint64) []Server {
+	var out []Server
+	for s := range r.All() {
+		if len(digests) != bucketCount || digests[bucketOf(s.ID)] != r.digests[bucketOf(s.ID)] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
 
 // placementHash returns the contribution of a record to the digest.
 func (s Server) placementHash() uint64 {
@@ -275,12 +304,12 @@
 	from := netip.AddrPort{}
 	if old, exists := r.servers[s.ID]; exists {
 		from = old.server.Address
-		r.digest ^= old.server.placementHash()
+		r.digests[bucketOf(s.ID)] ^= old.server.placementHash()
 		if s.Silent {
 			e.heardAt = old.heardAt
 		}
 	}
-	r.digest ^= s.placementHash()
+	r.digests[bucketOf(s.ID)] ^= s.placementHash()
 	r.servers[s.ID] = e
 	r.moveTo(s.ID, from, s.Address)
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -30,7 +30,7 @@
 func server(id, incarnation, sequence uint64) roster.Server {
 	return roster.Server{
 		ID: id, Incarnation: incarnation, Sequence: sequence, Service: "yard", Zone: "a", Slots: 2,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
 	}
 }
 
@@ -123,6 +123,24 @@
 		Expect(r.Digest()).To(Equal(other.Digest()))
 	})
 
+	It("returns the records of the buckets that differ", func() {
+		other := &roster.Roster{}
+		for id := uint64(1); id <= 1000; id++ {
+			r.RecordAnnouncement(0, server(id, 5, 1))
+			other.RecordAnnouncement(0, server(id, 5, 1))
+		}
+		Expect(r.Differing(other.BucketDigests())).To(BeEmpty())
+		r.RecordAnnouncement(0, server(7, 5, 2).WithPhase(roster.Draining))
+		differing := r.Differing(other.BucketDigests())
+		Expect(differing).To(ContainElement(server(7, 5, 2).WithPhase(roster.Draining)))
+		Expect(len(differing)).To(BeNumerically("<", 40), "about 1000/64")
+		for _, s := range differing {
+			other.Merge(0, s)
+		}
+		Expect(other.Digest()).To(Equal(r.Digest()))
+		Expect(r.Differing(nil)).To(HaveLen(1000))
+	})
+
 	It("changes its digest with every change that affects placement", func() {
 		r.RecordAnnouncement(0, server(1, 5, 1))
 		for i, change := range []func(*roster.Server){
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -48,6 +48,9 @@
 	// Digest returns the digest of those records. A subscriber with the same digest
 	// gets only later changes.
 	Digest func() uint64
+	// Differing, if set, returns the records in the buckets with other digests than
+	// these. A subscriber that knows its digests gets only those records.
+	Differing func(digests []uint64) []roster.Server
 	// OnFailures, if set, is called with the request failures that a subscriber
 	// reports.
 	OnFailures func([]load.Failures)
@@ -298,10 +301,15 @@
 func (h *Hub) subscribe(s *subscriber, request proto.Subscribe) {
 	h.logSubscriber("instanceLinked", request)
 	h.addSubscriber(s, request)
-	if !request.Standby && (request.Digest == 0 || request.Digest != h.Digest()) {
-		// Records that are published from now on may arrive before these.
-		h.encodedServers().sendTo(s)
+	if request.Standby || request.Digest != 0 && request.Digest == h.Digest() {
+		return
+	}
+	// Records that are published from now on may arrive before these.
+	if h.Differing != nil && len(request.Digests) > 0 {
+		s.conn.Send(proto.Update{Servers: h.Differing(request.Digests)})
+		return
 	}
+	h.encodedServers().sendTo(s)
 }
 
 // addSubscriber adds a subscriber and sends it the complete current configuration if
--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -111,6 +111,8 @@
 		r.registry.handleRoster(*m.Roster)
 	case m.Liveness != nil:
 		r.registry.handleLiveness(*m.Liveness)
+	case m.RosterQuery != nil:
+		r.registry.handleRosterQuery(*m.RosterQuery)
 	case m.RosterAck != nil:
 		r.registry.handleRosterAck(*m.RosterAck)
 	case len(m.Failures) > 0:
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -32,6 +32,8 @@
 	seeds    []netip.AddrPort
 	dirs     map[netip.AddrPort]string
 	replicas map[netip.AddrPort]*plane.Replica
+	// serverTimeout is when backend servers that do not announce themselves become silent.
+	serverTimeout time.Duration
 }
 
 func freeAddress() netip.AddrPort {
@@ -41,8 +43,10 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func newCluster(voters int) *cluster {
-	s := &cluster{dirs: map[netip.AddrPort]string{}, replicas: map[netip.AddrPort]*plane.Replica{}}
+func newCluster(voters int) *cluster { return newClusterWith(voters, time.Second) }
+
+func newClusterWith(voters int, serverTimeout time.Duration) *cluster {
+	s := &cluster{serverTimeout: serverTimeout, dirs: map[netip.AddrPort]string{}, replicas: map[netip.AddrPort]*plane.Replica{}}
 	for range voters {
 		s.seeds = append(s.seeds, freeAddress())
 	}
@@ -67,7 +71,7 @@
 	}
 	r, err := plane.Start(context.Background(), plane.Config{
 		Listen: a, Seeds: s.seeds, Bootstrap: bootstrap, Data: s.dirs[a], FaultTolerance: 1,
-		VoterTimeout: time.Second, ServerTimeout: time.Second, Log: logs.Discard(),
+		VoterTimeout: time.Second, ServerTimeout: s.serverTimeout, Log: logs.Discard(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	s.replicas[a] = r
@@ -104,7 +108,7 @@
 func server(id, sequence uint64) roster.Server {
 	return roster.Server{
 		ID: id, Incarnation: 5, Sequence: sequence, Service: "yard", Zone: "a", Slots: 2,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
 	}
 }
 
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -33,8 +33,8 @@
 	batcher   feed.Batcher // of records for the other replicas
 	// zones holds the availability zones of the replicas by address.
 	zones map[string]string
-	// fullSyncAt is when the complete roster was last sent to each replica.
-	fullSyncAt map[string]time.Duration
+	// queriedAt is when each replica was last sent a RosterQuery.
+	queriedAt map[string]time.Duration
 }
 
 // departure is a phase other than Ready of one start of a backend server.
@@ -66,12 +66,12 @@
 
 func (g *registry) init(r *Replica) {
 	g.r = r
-	g.hub.AllServers, g.hub.Digest, g.hub.Log = g.all, g.digest, r.log
+	g.hub.AllServers, g.hub.Digest, g.hub.Differing, g.hub.Log = g.all, g.digest, g.differing, r.log
 	g.hub.OnFailures = r.outliers.report
 	g.hub.Configure(r.state.Configuration)
 	g.ackWaits = map[uint64]*ackWait{}
 	g.confirmed = map[uint64]departure{}
-	g.fullSyncAt = map[string]time.Duration{}
+	g.queriedAt = map[string]time.Duration{}
 	g.zones = map[string]string{}
 	g.setZone(r.id, r.cfg.Zone)
 	g.restoreCheckpoint()
@@ -211,8 +211,8 @@
 	}
 }
 
-// handleLiveness merges the heartbeats that another replica has received, and sends
-// it the complete roster when the digests differ.
+// handleLiveness merges the heartbeats that another replica has received, and queries
+// its roster when the digests differ.
 func (g *registry) handleLiveness(m proto.Liveness) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -221,16 +221,22 @@
 	changed := g.roster.MergeHeartbeats(now, m.Heartbeats)
 	g.logChanges("replica", changed)
 	g.hub.PublishServers(changed)
-	if m.Digest != g.roster.Digest() && now-g.fullSyncAt[m.From] > fullSyncInterval {
-		g.fullSyncAt[m.From] = now
-		all := slices.Collect(g.roster.All())
-		g.r.mesh.send(m.From, proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: all}})
+	if m.Digest != g.roster.Digest() && now-g.queriedAt[m.From] > queryInterval {
+		g.queriedAt[m.From] = now
+		g.r.mesh.send(m.From, proto.ToPlane{RosterQuery: &proto.RosterQuery{From: g.r.id, Digests: g.roster.BucketDigests()}})
 	}
 }
 
-// fullSyncInterval is the least time between two transfers of the complete roster
-// to a replica whose digest differs.
-const fullSyncInterval = time.Second
+// queryInterval is the least time between two queries of a replica whose digest
+// differs. While records change often, digests nearly always differ for a moment.
+const queryInterval = time.Second
+
+// handleRosterQuery sends a replica the records that it may lack.
+func (g *registry) handleRosterQuery(m proto.RosterQuery) {
+	if differing := g.differing(m.Digests); len(differing) > 0 {
+		g.r.mesh.send(m.From, proto.ToPlane{Roster: &proto.Roster{From: g.r.id, Servers: differing}})
+	}
+}
 
 func (g *registry) handleRosterAck(m proto.RosterAck) {
 	g.mu.Lock()
@@ -252,6 +258,13 @@
 	return slices.Collect(g.roster.All())
 }
 
+// differing returns the records in the buckets with other digests.
+func (g *registry) differing(digests []uint64) []roster.Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Differing(digests)
+}
+
 func (g *registry) digest() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/plane/status.go
+++ b/io/plane/status.go
@@ -25,3 +25,7 @@
 // Servers returns the records of all backend servers in this replica's roster,
 // including those that are gone, ordered by identifier.
 func (r *Replica) Servers() []roster.Server { return r.registry.all() }
+
+// LinkBytes returns the payload bytes that links to replicas and entry instances have
+// carried, both ways.
+func (r *Replica) LinkBytes() int64 { return r.meter.Total() }
--- a/io/proto/plane.go
+++ b/io/proto/plane.go
@@ -39,6 +39,15 @@
 	// replicas.
 	Failures  []load.Failures `cbor:"10,keyasint,omitempty"`
 	Ejections []load.Ejection `cbor:"11,keyasint,omitempty"`
+	// RosterQuery asks for the records that the sender may lack.
+	RosterQuery *RosterQuery `cbor:"12,keyasint,omitempty"`
+}
+
+// RosterQuery carries the digests of the buckets of the sender's roster. The receiver
+// sends its records in the buckets that differ.
+type RosterQuery struct {
+	From    string   `cbor:"1,keyasint"`
+	Digests []uint64 `cbor:"2,keyasint"`
 }
 
 // Roster carries changed records of backend servers. If Serial is not 0, the receiver
@@ -51,7 +60,7 @@
 
 // Liveness carries the heartbeats that the sender has received from backend servers
 // since its last Liveness, and the digest of its roster. A receiver whose digest
-// differs sends its complete roster.
+// differs sends a RosterQuery.
 type Liveness struct {
 	From       string             `cbor:"1,keyasint"`
 	Heartbeats []roster.Heartbeat `cbor:"2,keyasint,omitempty"`
@@ -103,6 +112,8 @@
 	Standby bool `cbor:"6,keyasint,omitempty"`
 	// Compression reports that the instance accepts compressed updates.
 	Compression bool `cbor:"7,keyasint,omitempty"`
+	// Digests are those of the buckets of the instance's roster, if it has records.
+	Digests []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Update carries changes to an entry instance. The first updates on a link bring the
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -156,6 +156,11 @@
 		defer r.mu.Unlock()
 		return r.balancer.Digest()
 	}
+	r.hub.Differing = func(digests []uint64) []roster.Server {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.balancer.Differing(digests)
+	}
 	mux := http.NewServeMux()
 	mux.Handle(proto.RelayPath, r.hub.Handler(r.ctx, &r.counters.meter))
 	server, err := links.Serve(cmp.Or(r.cfg.Bind, r.cfg.Link), mux)
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -164,6 +164,9 @@
 	if mode == active {
 		l.config, _ = u.r.balancer.Config()
 		request.Version, request.Digest = l.config.Version, u.r.balancer.Digest()
+		if u.r.balancer.ServerCount() > 0 {
+			request.Digests = u.r.balancer.BucketDigests()
+		}
 		u.r.log.WithField("replica", l.address).WithField("version", request.Version).Info("replicaFollowed")
 	}
 	l.conn.Send(proto.ToFeed{Subscribe: &request})
