Do not wait for a source without state

Cause: an entry instance that starts opens one link. Change: a source reports its version with its first update; one that has none is replaced at once by one that has, and does not count as a link. The next link is tried after 0.15 s. The new test of core/source failed before.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -37,8 +37,9 @@
 	linkCount    = 2
 	standbyDelay = time.Second
 	// While no source is usable and has a configuration, the instance opens one link, and
-	// another after each fallbackDelay, up to maxFallbacks.
-	fallbackDelay = 300 * time.Millisecond
+	// another after each fallbackDelay and for each source without state, up to
+	// maxFallbacks.
+	fallbackDelay = 150 * time.Millisecond
 	maxFallbacks  = 3
 	// unusableTimeout is how long a link may be unusable before another is opened
 	// instead.
@@ -74,6 +75,7 @@
 
 type link struct {
 	up, contact bool
+	reported    bool          // its source has reported its contact and version
 	changedAt   time.Duration // when it was opened, or up or contact changed
 	version     uint64
 	versionAt   time.Duration // when version was reported first
@@ -108,7 +110,12 @@
 
 // ReportContact records whether a source has contact to a leader.
 func (s *Selector) ReportContact(now time.Duration, address string, contact bool) {
-	if l := s.links[address]; l != nil && l.up && l.contact != contact {
+	l := s.links[address]
+	if l == nil || !l.up {
+		return
+	}
+	l.reported = true
+	if l.contact != contact {
 		l.contact, l.changedAt = contact, now
 	}
 }
@@ -171,7 +178,7 @@
 	switch {
 	case best == "":
 		return ""
-	case current == nil || !current.up:
+	case current == nil || !current.up, s.isEmpty(current) && !s.isEmpty(s.links[best]):
 		return best
 	case !current.usable():
 		return cmp.Or(s.longestUsable(now), s.active)
@@ -186,6 +193,10 @@
 	return s.active
 }
 
+// isEmpty reports whether an instance without state follows a source without state, such
+// as a replica that has lost its disk.
+func (s *Selector) isEmpty(l *link) bool { return s.version == 0 && l.reported && l.version == 0 }
+
 // longestUsable returns the source that has been usable for longest, if that is at least
 // contactGrace, or "".
 func (s *Selector) longestUsable(now time.Duration) string {
@@ -202,8 +213,8 @@
 	return longest
 }
 
-// bestSource returns the address of the best link that is up: usable ones first, then
-// those in the own availability zone, then those that have not changed for longest.
+// bestSource returns the address of the best link that is up: those with state first,
+// then usable ones, then those in the own availability zone, then those that have not changed for longest.
 func (s *Selector) bestSource() string {
 	best := ""
 	for _, a := range slices.Sorted(maps.Keys(s.links)) {
@@ -218,6 +229,7 @@
 func (s *Selector) compare(a, b string) int {
 	x, y := s.links[a], s.links[b]
 	return cmp.Or(
+		trueFirst(!s.isEmpty(x), !s.isEmpty(y)),
 		trueFirst(x.usable(), y.usable()),
 		trueFirst(s.isLocal(a), s.isLocal(b)),
 		cmp.Compare(x.changedAt, y.changedAt))
@@ -274,7 +286,7 @@
 	served := s.servedSince(now)
 	switch {
 	case served < 0:
-		return min(maxFallbacks, 1+int((now-s.servedAt)/fallbackDelay))
+		return min(maxFallbacks, 1+s.emptyCount()+int((now-s.servedAt)/fallbackDelay))
 	case served < standbyDelay:
 		return 1
 	default:
@@ -282,6 +294,16 @@
 	}
 }
 
+func (s *Selector) emptyCount() int {
+	n := 0
+	for _, l := range s.links {
+		if s.isEmpty(l) {
+			n++
+		}
+	}
+	return n
+}
+
 // servedSince returns for how long a source has been usable and had a configuration, or
 // a negative time if none is.
 func (s *Selector) servedSince(now time.Duration) time.Duration {
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -119,6 +119,19 @@
 	g.Expect(n.active).To(Equal("r3"))
 }
 
+// After a loss of all power a replica that has also lost its disk has nothing to send.
+func TestDoesNotWaitForASourceWithoutState(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork("", threeZones)
+	n.version = 0
+	n.held["r2"], n.held["r3"] = 7, 7
+	for a := range threeZones {
+		n.isolated[a] = true // there is no leader yet
+	}
+	n.step(0)
+	g.Expect(n.held[n.active]).To(Equal(uint64(7)))
+}
+
 func TestFollowsTheStandbyAtOnceWhenTheActiveSourceFails(t *testing.T) {
 	for _, failure := range []string{"down", "isolated"} {
 		g := NewWithT(t)
@@ -216,7 +229,8 @@
 }
 
 // checkInvariants fails if the active source is worse than another for longer than the
-// 0.3 s in which replicas regain contact after an election.
+// 0.3 s in which replicas regain contact after an election. An instance without state
+// prefers a source that has some.
 func checkInvariants(t *rapid.T, n *network) {
 	for a := range n.links {
 		if !n.usable(a) {
@@ -226,6 +240,9 @@
 		}
 	}
 	for a, since := range n.usableSince {
+		if n.version == 0 && n.held[a] == 0 {
+			continue
+		}
 		if n.usable(a) && n.now-since >= 300*time.Millisecond && !n.usable(n.active) {
 			t.Fatalf("active %q is not usable, %q is; links %v, isolated %v", n.active, a, n.links, n.isolated)
 		}
