--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -216,6 +216,32 @@
 		Expect(outcome).To(Equal("unknown"))
 	})
 
+	// A backend server that dies while it answers must not leave a partial answer that
+	// looks complete.
+	DescribeTable("does not complete a response that broke off", func(headers string) {
+		addBackend(func(w http.ResponseWriter, _ *http.Request) {
+			conn, buffered, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			fmt.Fprint(buffered, "HTTP/1.1 200 OK\r\n"+headers+"\r\n\r\n4\r\nhalf\r\n")
+			buffered.Flush()
+		})
+		req, err := http.NewRequest("GET", gatewayServer.URL, nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "yard"
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		Expect(err).To(HaveOccurred())
+		outcome, _ := send("POST", "k", "2")
+		Expect(outcome).To(Equal("unknown"))
+	},
+		Entry("shorter than its length", "Content-Length: 100"),
+		Entry("without its last chunk", "Transfer-Encoding: chunked"),
+	)
+
 	It("does not forward a response to another request", func() {
 		addBackend(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(gate.HeaderRequestID, "another")
