--- a/io/plane/checkpoint.go
+++ b/io/plane/checkpoint.go
@@ -24,7 +24,6 @@
 	if err != nil {
 		// The checkpoint is soft state, so the replica can start without it.
 		g.r.log.WithError(err).Warn("checkpointNotRestored")
-		return
 	}
 	departed := g.restoreDepartures()
 	for _, s := range slices.Concat(saved.Servers, departed) {
--- a/io/plane/departures_test.go
+++ b/io/plane/departures_test.go
@@ -10,6 +10,7 @@
 
 	"boragepost/core/roster"
 	"boragepost/io/plane"
+	"boragepost/io/store"
 )
 
 // phases returns the phases of a replica's backend servers by identifier.
@@ -69,6 +70,18 @@
 		}
 	})
 
+	It("survive a checkpoint that cannot be read", func() {
+		s := newCluster(1)
+		a := s.seeds[0]
+		s.stop(a)
+		disk, _, err := store.Open(s.dirs[a])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(disk.SaveDepartures([]roster.Server{server(2, 3).WithPhase(roster.Gone)})).To(Succeed())
+		Expect(disk.Close()).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(s.dirs[a], "checkpoint"), []byte("damaged"), 0o600)).To(Succeed())
+		Expect(phases(s.start(a, false))).To(Equal(map[uint64]roster.Phase{2: roster.Gone}))
+	})
+
 	It("survive in the checkpoint that replaces the journal", func() {
 		s := newCluster(3)
 		depart(s)
