--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -111,13 +111,13 @@
 type Roster struct {
 	servers map[uint64]*entry
 	// at holds what is known of each address.
-	at         map[netip.AddrPort]*tenancy
+	at         map[netip.AddrPort]*occupants
 	heartbeats map[uint64]Heartbeat // not yet returned by TakeHeartbeats
 	digests    [bucketCount]uint64  // of the records in each bucket
 }
 
-// tenancy is the succession of backend servers at one address.
-type tenancy struct {
+// occupants are the backend servers that have announced one address.
+type occupants struct {
 	newest uint64   // incarnation
 	ids    []uint64 // of the records with this address
 }
@@ -247,7 +247,7 @@
 	if !s.Address.IsValid() || s.Incarnation <= r.newestAt(s.Address) {
 		return nil
 	}
-	t := r.tenancyOf(s.Address)
+	t := r.occupantsOf(s.Address)
 	t.newest = s.Incarnation
 	for _, id := range t.ids {
 		old := r.servers[id].server
@@ -267,13 +267,13 @@
 	return 0
 }
 
-// tenancyOf returns the tenancy of an address, and adds it if it is new.
-func (r *Roster) tenancyOf(address netip.AddrPort) *tenancy {
+// occupantsOf returns the occupants of an address, and adds an entry if it is new.
+func (r *Roster) occupantsOf(address netip.AddrPort) *occupants {
 	if r.at == nil {
-		r.at = map[netip.AddrPort]*tenancy{}
+		r.at = map[netip.AddrPort]*occupants{}
 	}
 	if r.at[address] == nil {
-		r.at[address] = &tenancy{}
+		r.at[address] = &occupants{}
 	}
 	return r.at[address]
 }
@@ -285,7 +285,7 @@
 	}
 	r.leaveAddress(id, from)
 	if to.IsValid() {
-		t := r.tenancyOf(to)
+		t := r.occupantsOf(to)
 		t.ids = append(t.ids, id)
 	}
 }
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -73,6 +73,7 @@
 	servedAt time.Duration
 }
 
+// link is the state of one link as its events and its source's reports show it.
 type link struct {
 	up, contact bool
 	reported    bool          // its source has reported its contact and version
@@ -172,6 +173,8 @@
 // isLocal reports whether a replica is in the instance's availability zone.
 func (s *Selector) isLocal(address string) bool { return s.Zone != "" && s.zones[address] == s.Zone }
 
+// chooseActive returns the source to subscribe to: the current one unless another is to
+// replace it.
 func (s *Selector) chooseActive(now time.Duration) string {
 	best := s.bestSource()
 	current := s.links[s.active]
@@ -282,6 +285,7 @@
 	s.links[address] = &link{changedAt: now}
 }
 
+// wantedLinks returns the number of promising links that the instance needs.
 func (s *Selector) wantedLinks(now time.Duration) int {
 	served := s.servedSince(now)
 	switch {
@@ -294,6 +298,7 @@
 	}
 }
 
+// emptyCount returns the number of links to sources without state.
 func (s *Selector) emptyCount() int {
 	n := 0
 	for _, l := range s.links {
@@ -362,6 +367,7 @@
 	return closed
 }
 
+// isSurplus reports whether the link to an address can be closed.
 func (s *Selector) isSurplus(now time.Duration, address string) bool {
 	l := s.links[address]
 	switch {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -245,6 +245,7 @@
 	valid             bool
 }
 
+// encodeBoth encodes an update in both forms.
 func (h *Hub) encodeBoth(m proto.Update) encodedUpdate {
 	compressed, err := m.Compress()
 	if err != nil && h.Log != nil {
