--- a/core/source/source.go
+++ b/core/source/source.go
@@ -17,7 +17,7 @@
 //	s := source.Selector{Zone: zone, Rand: rand.IntN}
 //	s.SetKnown(addresses)
 //	s.Connected(now, address)               // and the other events of links
-//	actions := s.Step(now, version)         // after each event, and about twice a second
+//	actions := s.Step(now, version)         // after each event, and a few times a second
 //	// close and open links, and subscribe to actions.Active
 //
 // A Selector is not safe for concurrent use. Times are readings of one monotonic clock.
--- a/io/plane/checkpoint.go
+++ b/io/plane/checkpoint.go
@@ -134,7 +134,9 @@
 		return
 	}
 	w.journaled = true
-	if err := w.g.r.store.SaveDepartures(servers); err != nil {
+	err := w.g.r.store.SaveDepartures(servers)
+	w.g.r.counters.departures.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
 		// Not acknowledged: the backend servers repeat it, here or at another replica.
 		w.g.r.log.WithError(err).WithField("servers", len(servers)).Warn("departuresNotSaved")
 		return
--- a/io/plane/counters.go
+++ b/io/plane/counters.go
@@ -17,6 +17,7 @@
 	reads           *prometheus.CounterVec
 	announcements   *prometheus.CounterVec
 	leaderChanges   prometheus.Counter
+	departures      *prometheus.CounterVec
 	proposeSeconds  prometheus.Histogram
 	readSeconds     prometheus.Histogram
 	announceSeconds prometheus.Histogram
@@ -35,6 +36,7 @@
 		reads:           set.LabeledCounter("reads_total", "Reads of the newest configuration, by outcome.", "outcome"),
 		announcements:   set.LabeledCounter("announcements_total", "Announcements of backend servers, by outcome.", "outcome"),
 		leaderChanges:   set.Counter("leader_changes_total", "Changes of leader or term."),
+		departures:      set.LabeledCounter("departures_total", "Writes of departures to disk, by outcome.", "outcome"),
 		proposeSeconds:  set.Histogram("offer_seconds", "Time to the acknowledgement of a configuration.", callBuckets),
 		readSeconds:     set.Histogram("read_seconds", "Time to the proof of a read.", callBuckets),
 		announceSeconds: set.Histogram("announce_seconds", "Time to the answer to an announcement.", callBuckets),
--- a/io/relay/counters.go
+++ b/io/relay/counters.go
@@ -21,6 +21,7 @@
 	malformed       prometheus.Counter
 	receiveErrors   prometheus.Counter
 	sendErrors      prometheus.Counter
+	sourceChanges   prometheus.Counter
 	resets          *prometheus.CounterVec
 	dropped         *prometheus.CounterVec
 	holdSeconds     prometheus.Histogram
@@ -43,6 +44,7 @@
 		malformed:     set.Counter("packets_malformed_total", "Datagrams that are no packet."),
 		receiveErrors: set.Counter("receive_errors_total", "Failed reads of datagrams."),
 		sendErrors:    set.Counter("send_errors_total", "Failed writes of datagrams."),
+		sourceChanges: set.Counter("source_changes_total", "Changes of the control replica that updates come from."),
 		resets:        set.LabeledCounter("resets_total", "Resets sent to callers, by reason.", "reason"),
 		dropped:       set.LabeledCounter("packets_dropped_total", "Packets that were dropped, by reason.", "reason"),
 		holdSeconds:   set.Histogram("hold_seconds", "How long held packets waited for a decision.", latencyBuckets),
--- a/io/relay/upstream.go
+++ b/io/relay/upstream.go
@@ -141,6 +141,7 @@
 func (u *upstream) setActive(address string) {
 	if address != u.active {
 		u.r.log.WithField("replica", address).WithField("former", u.active).Info("sourceChanged")
+		u.r.counters.sourceChanges.Inc()
 		u.active = address
 	}
 	for a, l := range u.links {
