Repeat announcements in tests as backend servers do

A backend server repeats it then, and so do the tests now; what must hold after the acknowledgement is unchanged.

--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// announce repeats an announcement until it is acknowledged, as a backend server does
+// when a replica has lost its leader for a moment.
+func announce(r *plane.Replica, b roster.Server) {
+	GinkgoHelper()
+	Eventually(func() error { return r.Announce(withTimeout(time.Second), b) }, timeout, "50ms").Should(Succeed())
+}
+
 // withTimeout returns a context for one call.
 func withTimeout(d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
