Leave the voters before a planned stop of a control replica

What callers saw: after a control replica was replaced as planned, the loss of one more disk ended the control plane for good: every configuration and every read got 503, also after a restart of all. With all three replicas replaced at once no disk had to be lost.

Cause: a replica that got SIGTERM ended at once and stayed a voter until it had been silent for three quarters of the catch-up time. Meanwhile the set of four needed three votes, and one of them could not come any more.

Ruled out: lost entries (the two replicas left had the whole log); the removal of the voter whose disk was lost (it is proposed, but cannot be committed by two of four).

Change: a stopping replica asks the leader to remove it, in its replies to appends, and ends when the leader's appends grant that, within the grace period. Both carry the number of the stop, so that a late message of an earlier stop has no effect. A leader lets an up-to-date voter campaign first. Without a successor, at 2f+1 voters, the grant comes at once. It works because the set never counts a replica that has ended: the removal is committed by the set without it before it ends.

--- /dev/null
+++ b/core/quorum/departure_test.go
@@ -0,0 +1,252 @@
+package quorum_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"boragepost/core/quorum"
+)
+
+const (
+	// departCatchUpTicks is how long a machine counts as lost after it has started:
+	// twice the default voter timeout.
+	departCatchUpTicks = 120
+	// departGraceTicks is how long a replica that stops may wait for the grant.
+	departGraceTicks = 90
+	maxDownTicks     = 60
+)
+
+// departures plays losses and replacements of machines of which at most one at a time
+// counts as lost.
+type departures struct {
+	*dynamicCluster
+	t       *rapid.T
+	started int
+}
+
+func (d *departures) pick(label string) *replica {
+	return d.replicas[rapid.IntRange(0, len(d.replicas)-1).Draw(d.t, label)]
+}
+
+func (d *departures) ticks(label string, most int) int {
+	return rapid.IntRange(0, most).Draw(d.t, label)
+}
+
+// startSuccessor starts an empty replica at a new address.
+func (d *departures) startSuccessor() *replica {
+	d.started++
+	return d.add(quorum.MakeID(fmt.Sprint("successor", d.started), "disk"), nil)
+}
+
+// end ends a replica for good.
+func (d *departures) end(r *replica) {
+	d.replicas = slices.DeleteFunc(d.replicas, func(o *replica) bool { return o == r })
+}
+
+// stop lets replicas ask to leave at the same time and ends each as soon as it may
+// stop, or after the grace period.
+func (d *departures) stop(leaving ...*replica) {
+	for _, r := range leaving {
+		d.started++
+		r.node.RequestDeparture(uint64(d.started))
+	}
+	for range departGraceTicks {
+		for _, r := range leaving {
+			if r.node.DepartureGranted() {
+				d.end(r)
+			}
+		}
+		if !slices.ContainsFunc(leaving, func(r *replica) bool { return slices.Contains(d.replicas, r) }) {
+			return
+		}
+		d.advance(1)
+	}
+	for _, r := range leaving {
+		d.end(r)
+	}
+}
+
+// wipe restarts a replica without its disk and gives it time to catch up.
+func (d *departures) wipe(r *replica) {
+	address := quorum.AddressOf(r.id)
+	d.end(r)
+	d.advance(d.ticks("down", maxDownTicks))
+	d.started++
+	d.add(quorum.MakeID(address, fmt.Sprint("disk", d.started)), nil)
+	d.advance(departCatchUpTicks)
+}
+
+// replacePlanned starts successors, and stops as many replicas once these have caught up.
+func (d *departures) replacePlanned(count int) {
+	old := slices.Clone(d.replicas)
+	for range count {
+		d.startSuccessor()
+	}
+	d.advance(departCatchUpTicks)
+	first := d.ticks("first", len(old)-1)
+	var leaving []*replica
+	for i := range count {
+		leaving = append(leaving, old[(first+i)%len(old)])
+	}
+	d.stop(leaving...)
+}
+
+// restartPlanned stops a replica and starts it again with its disk.
+func (d *departures) restartPlanned() {
+	r := d.pick("replica")
+	d.stop(r)
+	d.advance(d.ticks("down", maxDownTicks))
+	d.replicas = append(d.replicas, r)
+	d.restart(r)
+	d.advance(departCatchUpTicks)
+}
+
+// replaceLost starts the successor of a replica that ended without notice, at most
+// lateTicks later.
+func (d *departures) replaceLost(r *replica, lateTicks int) {
+	d.end(r)
+	d.advance(d.ticks("late", lateTicks))
+	d.startSuccessor()
+	d.advance(departCatchUpTicks)
+}
+
+// loseSuccessor ends a successor for good before the replica that it was started for
+// has been stopped.
+func (d *departures) loseSuccessor() {
+	s := d.startSuccessor()
+	d.advance(d.ticks("age", departCatchUpTicks))
+	d.replaceLost(s, maxDownTicks)
+}
+
+func (d *departures) freeze() {
+	r := d.pick("replica")
+	r.paused = true
+	d.advance(d.ticks("frozen", 2*departCatchUpTicks))
+	r.paused = false
+	d.advance(departCatchUpTicks)
+}
+
+// expectCommit checks that a proposal is committed within a few elections.
+func (d *departures) expectCommit(after string) {
+	before := d.highest()
+	for range 8 {
+		for _, r := range d.replicas {
+			if r.node.Role() == quorum.Leader {
+				d.propose(r)
+			}
+		}
+		d.advance(10)
+		if d.highest() > before && d.leads() {
+			return
+		}
+	}
+	d.t.Fatalf("nothing is committed after: %s%s", after, d.describe())
+}
+
+func (d *departures) leads() bool {
+	return slices.ContainsFunc(d.replicas, func(r *replica) bool {
+		return r.node.Role() == quorum.Leader && r.node.HasActiveLeader()
+	})
+}
+
+// TestDeparturesKeepTheQuorum guards against voters that have ended for good and still
+// count: with them, the loss of one more disk used to leave no quorum.
+func TestDeparturesKeepTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
+		d.advance(40)
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			step := rapid.SampledFrom([]string{"planned", "several", "restart", "lost", "wipe", "successorLost", "freeze"}).Draw(t, "step")
+			switch step {
+			case "planned":
+				d.replacePlanned(1)
+			case "several":
+				d.replacePlanned(rapid.IntRange(2, len(d.replicas)).Draw(t, "count"))
+			case "restart":
+				d.restartPlanned()
+			case "lost":
+				d.replaceLost(d.pick("replica"), maxDownTicks)
+			case "wipe":
+				d.wipe(d.pick("replica"))
+			case "successorLost":
+				d.loseSuccessor()
+			case "freeze":
+				d.freeze()
+			}
+			if rapid.Bool().Draw(t, "pause") {
+				d.expectCommit(step)
+			}
+		}
+		d.expectCommit("all")
+	})
+}
+
+// TestDiskLostDuringDepartureKeepsTheQuorum guards against the loss of a disk between
+// the request to leave and the end of the old replica.
+func TestDiskLostDuringDepartureKeepsTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
+		d.advance(40)
+		d.startSuccessor()
+		d.advance(departCatchUpTicks)
+		leaving := d.pick("leaving")
+		leaving.node.RequestDeparture(1)
+		d.advance(d.ticks("request", 12))
+		lost := d.pick("lost")
+		if lost == leaving {
+			return
+		}
+		d.end(lost)
+		d.stop(leaving)
+		d.started++
+		d.add(quorum.MakeID(quorum.AddressOf(lost.id), "new disk"), nil)
+		d.advance(departCatchUpTicks)
+		d.expectCommit("lost disk")
+	})
+}
+
+// TestStaleDepartureHasNoEffect guards against a request or a grant of an earlier stop
+// of the same replica: neither may remove or release the process that runs now.
+func TestStaleDepartureHasNoEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
+		d.advance(40)
+		d.startSuccessor()
+		d.advance(departCatchUpTicks)
+		r := d.pick("replica")
+		if r.node.Role() == quorum.Leader {
+			return
+		}
+		leader := d.find(r.node.Leader())
+		stale := []quorum.Message{}
+		r.node.RequestDeparture(1)
+		for range 20 {
+			d.tick()
+			for len(d.messages) > 0 {
+				if m := d.messages[0]; m.Departure != 0 {
+					stale = append(stale, m)
+				}
+				d.deliver(0)
+			}
+		}
+		d.restart(r)
+		d.advance(departCatchUpTicks)
+		for _, m := range stale {
+			d.messages = append(d.messages, m)
+		}
+		d.advance(5)
+		if leader.node.Role() == quorum.Leader && !leader.node.IsVoter(r.id) {
+			t.Fatalf("%s was removed by a request of its earlier stop%s", r.id, d.describe())
+		}
+		r.node.RequestDeparture(2)
+		for _, m := range stale {
+			r.node.Step(m)
+		}
+		if r.node.DepartureGranted() {
+			t.Fatalf("%s may stop by a grant of its earlier stop%s", r.id, d.describe())
+		}
+	})
+}
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -83,37 +83,43 @@
 //
 // A voter whose disk is known to be lost is removed first: it can never vote
 // again, so the smaller set needs no more of the other voters than the larger one
-// did. Otherwise a caught-up learner is added, or else an unresponsive voter is
-// removed. At MaxVoters a learner is added only if there is an unresponsive voter,
-// which is removed afterwards.
+// did. Then a voter that leaves or is unresponsive is removed, if the set is larger
+// than MinVoters. Otherwise a caught-up learner is added. At MaxVoters that takes a
+// voter to remove afterwards.
 func (n *Node) changeMembership() {
 	mayChange := n.log.lastMembershipChange() <= n.log.commit && n.log.termAt(n.log.commit) == n.hardState.Term
 	if !n.cfg.DynamicMembership || !mayChange {
 		return
 	}
-	limits := n.cfg.MembershipLimits.withDefaults()
+	limits := n.membershipLimits()
 	n.expireLearners(limits)
 	size := len(n.log.voters)
-	replaced, unresponsive, caughtUp := n.replacedVoter(), n.unresponsiveVoter(limits), n.caughtUpLearner()
+	replaced, removable, caughtUp := n.replacedVoter(), n.removableVoter(limits), n.caughtUpLearner()
 	switch {
 	case replaced != "" && size >= limits.MinVoters:
 		n.removeVoter(replaced)
-	case caughtUp != "" && (size < limits.MaxVoters || unresponsive != ""):
+	case removable != "" && size > limits.MinVoters:
+		n.removeVoter(removable)
+	case caughtUp != "" && (size < limits.MaxVoters || removable != ""):
 		n.appendEntry(Entry{Voters: append(slices.Clone(n.log.voters), caughtUp)})
-	case unresponsive != "" && size > limits.MinVoters:
-		n.removeVoter(unresponsive)
 	}
 }
 
+func (n *Node) membershipLimits() MembershipLimits { return n.cfg.MembershipLimits.withDefaults() }
+
+// removeVoter removes a voter. One that leaves still receives appends, which tell it
+// when it may stop.
 func (n *Node) removeVoter(removed string) {
-	delete(n.progress, removed)
+	if n.progress[removed].departure == 0 {
+		delete(n.progress, removed)
+	}
 	n.appendEntry(Entry{Voters: slices.DeleteFunc(slices.Clone(n.log.voters), func(id string) bool { return id == removed })})
 }
 
 // caughtUpLearner returns a learner whose log holds all committed entries, or "".
 func (n *Node) caughtUpLearner() string {
 	for id, p := range n.progress {
-		if !n.IsVoter(id) && p.match >= n.log.commit && n.isResponsive(p) {
+		if !n.IsVoter(id) && p.match >= n.log.commit && p.departure == 0 && n.isResponsive(p) {
 			return id
 		}
 	}
@@ -136,11 +142,14 @@
 	return ""
 }
 
-// unresponsiveVoter returns the voter that has been unresponsive for longest among
-// those past VoterTimeoutTicks, or "".
-func (n *Node) unresponsiveVoter(limits MembershipLimits) string {
+// removableVoter returns a voter that leaves, or else the one that has been
+// unresponsive for longest among those past VoterTimeoutTicks, or "".
+func (n *Node) removableVoter(limits MembershipLimits) string {
 	longest := ""
 	for _, id := range n.log.voters {
+		if id != n.cfg.ID && n.progress[id].departure != 0 {
+			return id
+		}
 		if id == n.cfg.ID || n.now-n.progress[id].ackedAt <= limits.VoterTimeoutTicks {
 			continue
 		}
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -14,6 +14,7 @@
 	KindSnapshot
 	KindStatus
 	KindStatusReply
+	KindTransfer
 )
 
 // Message is a message between two replicas. Kind determines which fields are
@@ -40,6 +41,11 @@
 	ReadRound uint64 `cbor:"13,keyasint,omitempty"`
 	// RejectedIndex is the Index of a rejected append.
 	RejectedIndex uint64 `cbor:"14,keyasint,omitempty"`
+	// Departure is the number of the sender's request to leave the voters in a reply
+	// to an append, and the number of the request that the leader grants in an append.
+	Departure uint64 `cbor:"15,keyasint,omitempty"`
+	// Transfer is set in a vote request if the leader has asked the sender to campaign.
+	Transfer bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Step handles a message from another replica.
@@ -61,7 +67,8 @@
 		return
 	}
 	if m.Term > n.hardState.Term {
-		if m.Kind == KindVote && n.inLeaderLease() {
+		transfer := m.Transfer && n.cfg.DynamicMembership
+		if m.Kind == KindVote && !transfer && n.inLeaderLease() {
 			return
 		}
 		n.become(Follower, m.Term, "")
@@ -81,6 +88,8 @@
 		n.handleSnapshot(m)
 	case KindAppendReply:
 		n.handleAppendReply(m)
+	case KindTransfer:
+		n.handleTransfer(m)
 	}
 }
 
@@ -152,6 +161,7 @@
 	}
 	n.lastContact = n.now
 	n.recovery.leaderTerm = m.Term
+	n.recordGrant(m)
 }
 
 func (n *Node) handleAppend(m Message) {
@@ -186,5 +196,6 @@
 func (n *Node) replyAppend(to string, reply Message) {
 	n.maybeEndRecovery()
 	reply.Learner = n.recovery.active
+	reply.Departure = n.departure
 	n.send(to, reply)
 }
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -17,6 +17,7 @@
 	snapshotSentAt  uint64 // tick at which a snapshot was sent; 0 for none
 	readRound       uint64 // latest read round that the peer acknowledged
 	joinRequestedAt uint64 // tick of a learner's latest request to join
+	departure       uint64 // number of the peer's request to leave, or 0
 }
 
 // sendAppend sends a peer a snapshot, the entries that it lacks, or a heartbeat.
@@ -67,10 +68,14 @@
 }
 
 func (n *Node) sendEntries(id string, before uint64, entries []Entry) {
-	n.send(id, Message{
+	m := Message{
 		Kind: KindAppend, Term: n.hardState.Term, Index: before, LogTerm: n.log.termAt(before),
 		Entries: slices.Clone(entries), Commit: n.log.commit, SentTick: n.now, ReadRound: n.readRound,
-	})
+	}
+	if departure := n.progress[id].departure; departure != 0 && n.mayDepart(id) {
+		m.Departure = departure
+	}
+	n.send(id, m)
 }
 
 // sendSnapshot sends the snapshot to a peer that lacks compacted entries, and
@@ -93,6 +98,7 @@
 	if p == nil {
 		return // no longer a voter or learner
 	}
+	p.recordDeparture(m)
 	p.ackedAt = max(p.ackedAt, m.SentTick)
 	p.readRound = max(p.readRound, m.ReadRound)
 	p.learner = m.Learner
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -144,6 +144,10 @@
 	messages        []Message
 	pendingSnapshot *Snapshot
 	applied         uint64 // highest index returned by TakeOutput as committed
+	departure       uint64 // number of this replica's request to leave, or 0
+	// departureGranted is set once a leader has granted the request.
+	departureGranted bool
+	transferredAt    uint64 // tick of the leader's latest transfer request
 }
 
 // New returns a node that continues from its persistent state.
@@ -235,7 +239,7 @@
 		return
 	}
 	if n.now-n.lastContact >= n.electionTimeout && !n.recovery.active && n.IsVoter(n.cfg.ID) {
-		n.campaign(PreCandidate)
+		n.campaign(PreCandidate, false)
 	}
 }
 
@@ -244,6 +248,7 @@
 		n.lastHeartbeat = n.now
 		n.broadcastAppend()
 		n.changeMembership()
+		n.transferLeadership()
 	}
 	if n.now-n.lastContact < uint64(2*n.cfg.ElectionTicks) {
 		return
@@ -251,15 +256,21 @@
 	// A leader that no quorum acknowledges steps down, so that its callers
 	// learn that their proposals cannot be committed here.
 	n.lastContact = n.now
+	if !n.hearsQuorum(uint64(2 * n.cfg.ElectionTicks)) {
+		n.become(Follower, n.hardState.Term, "")
+	}
+}
+
+// hearsQuorum reports whether a quorum has acknowledged messages sent less than
+// window ticks ago.
+func (n *Node) hearsQuorum(window uint64) bool {
 	recent := 0
 	for _, id := range n.log.voters {
-		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < uint64(2*n.cfg.ElectionTicks) {
+		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < window {
 			recent++
 		}
 	}
-	if recent < n.quorum() {
-		n.become(Follower, n.hardState.Term, "")
-	}
+	return recent >= n.quorum()
 }
 
 // Propose appends data to the log and returns its index and term. It returns
@@ -336,7 +347,8 @@
 	n.resetTimeout()
 }
 
-func (n *Node) campaign(role Role) {
+// campaign requests votes. transfer reports that the leader has asked for it.
+func (n *Node) campaign(role Role, transfer bool) {
 	n.become(role, n.hardState.Term, "")
 	n.shortenTimeout()
 	n.votes = map[string]bool{n.cfg.ID: true}
@@ -344,7 +356,7 @@
 	if role == Candidate {
 		n.hardState.Term++
 		n.hardState.Vote = n.cfg.ID
-		m = Message{Kind: KindVote, Term: n.hardState.Term}
+		m = Message{Kind: KindVote, Term: n.hardState.Term, Transfer: transfer}
 	}
 	m.Index, m.LogTerm = n.log.last(), n.log.termAt(n.log.last())
 	for _, id := range n.log.voters {
@@ -364,7 +376,7 @@
 		return
 	}
 	if n.role == PreCandidate {
-		n.campaign(Candidate)
+		n.campaign(Candidate, false)
 		return
 	}
 	n.becomeLeader()
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -22,6 +22,7 @@
 //	err = r.Propose(ctx, configuration)    // returns when it is committed and applied
 //	c, err := r.ReadLatest(ctx)            // linearizable read
 //	err = r.Announce(ctx, server)          // from a backend server
+//	err = r.Leave(ctx)                     // before a planned stop
 //	err = r.Close()
 package plane
 
