Remove a lost voter before its successor counts in full

What callers would see: the loss of another machine after a replaced one has stopped counting leaves no quorum.

Cause: a voter that ended without notice was removed after three quarters of the catch-up time, counted anew by a new leader. Where the lost voter had led, that ended after the successor's catch-up time. Besides, the set grew by the successor while the lost voter still counted, so that the loss of this successor too left two of four.

An odd set with a silent voter takes no learner until that voter answers or can be removed; the larger set tolerated no more losses. A leader that hears from no quorum, as after a pause of its own, judges nobody silent.

Ruled out: removing the lost voter before the learner is added. The smaller set would not survive a lost disk while the silent voter, which may come back with its disk, is out.

--- a/core/quorum/departure_test.go
+++ b/core/quorum/departure_test.go
@@ -17,6 +17,8 @@
 	// departGraceTicks is how long a replica that stops may wait for the grant.
 	departGraceTicks = 90
 	maxDownTicks     = 60
+	// replacementTicks is the time from a loss to the start of a successor.
+	replacementTicks = 20
 )
 
 // departures plays losses and replacements of machines of which at most one at a time
@@ -208,6 +210,22 @@
 	})
 }
 
+// TestLostSuccessorKeepsTheQuorum guards against a set that grows by a successor while
+// the voter that it is to replace still counts: if the successor is lost as well, no
+// quorum used to be left.
+func TestLostSuccessorKeepsTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
+		d.advance(40)
+		d.end(d.pick("lost"))
+		d.advance(replacementTicks)
+		s := d.startSuccessor()
+		d.advance(d.ticks("age", replacementTicks))
+		d.replaceLost(s, maxDownTicks)
+		d.expectCommit("lost successor")
+	})
+}
+
 // TestStaleDepartureHasNoEffect guards against a request or a grant of an earlier stop
 // of the same replica: neither may remove or release the process that runs now.
 func TestStaleDepartureHasNoEffect(t *testing.T) {
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -86,6 +86,9 @@
 // did. Then a voter that leaves or is unresponsive is removed, if the set is larger
 // than MinVoters. Otherwise a caught-up learner is added. At MaxVoters that takes a
 // voter to remove afterwards.
+//
+// While a voter of an odd set is silent but not yet removable, no learner is added:
+// the larger set would need one more vote, and not tolerate more losses.
 func (n *Node) changeMembership() {
 	mayChange := n.log.lastMembershipChange() <= n.log.commit && n.log.termAt(n.log.commit) == n.hardState.Term
 	if !n.cfg.DynamicMembership || !mayChange {
@@ -100,7 +103,8 @@
 		n.removeVoter(replaced)
 	case removable != "" && size > limits.MinVoters:
 		n.removeVoter(removable)
-	case caughtUp != "" && (size < limits.MaxVoters || removable != ""):
+	case caughtUp == "" || removable == "" && (size >= limits.MaxVoters || size%2 == 1 && n.hasSilentVoter()):
+	default:
 		n.appendEntry(Entry{Voters: append(slices.Clone(n.log.voters), caughtUp)})
 	}
 }
@@ -143,8 +147,12 @@
 }
 
 // removableVoter returns a voter that leaves, or else the one that has been
-// unresponsive for longest among those past VoterTimeoutTicks, or "".
+// unresponsive for longest among those past VoterTimeoutTicks, or "". A leader that
+// hears from no quorum cannot tell which side is silent.
 func (n *Node) removableVoter(limits MembershipLimits) string {
+	if !n.hearsQuorum(uint64(n.cfg.ElectionTicks)) {
+		return ""
+	}
 	longest := ""
 	for _, id := range n.log.voters {
 		if id != n.cfg.ID && n.progress[id].departure != 0 {
@@ -160,6 +168,13 @@
 	return longest
 }
 
+// hasSilentVoter reports whether a voter is unresponsive.
+func (n *Node) hasSilentVoter() bool {
+	return slices.ContainsFunc(n.log.voters, func(id string) bool {
+		return id != n.cfg.ID && !n.isResponsive(n.progress[id])
+	})
+}
+
 // isResponsive reports whether a replica has acknowledged a message sent less than
 // an election timeout ago.
 func (n *Node) isResponsive(p *progress) bool {
