Apply a deregistration only to the start that sent it

What callers saw: a backend server that had left as planned and started again under its identifier had all its open flows reset while it lived, and got no new ones.

Cause: a deregistration has no body. A control replica took the missing incarnation for any and ended the start that was registered when the call arrived, also when a partition had delayed the call until after the next start. Gone wins over all later announcements of that incarnation, so nothing healed it.

Ruled out: reordered announcements (they carry incarnation and sequence); the reuse of the address by another identifier (both starts had the same).

Change: a connection belongs to one process, also when its bytes arrive late. The call applies to the start that has announced itself on its connection, or else to the registered one if that was known when the connection was accepted, and is leaving. It has no effect if only a later start is registered, and is refused with 503, so that the caller turns to another replica, if the registered start is not leaving.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -19,6 +19,7 @@
 //	changed := r.RecordAnnouncement(now, server)   // from the backend server itself
 //	changed, stale := r.Merge(now, server)         // from another replica
 //	changed = r.MarkSilent(now, connected, timeout) // backend servers that have stopped announcing
+//	ended, found, err := r.Deregister(call)         // which start a deregistration ends
 //	for s := range r.All() { ... }
 //
 // A Roster is not safe for concurrent use. Times are readings of one monotonic
@@ -125,6 +126,8 @@
 type entry struct {
 	server  Server
 	heardAt time.Duration // when the latest heartbeat or change arrived
+	// startSeenAt is when the first record of the present incarnation arrived.
+	startSeenAt time.Duration
 }
 
 // Heartbeat is the incarnation and sequence of an announcement that changes nothing
@@ -300,7 +303,7 @@
 	if r.servers == nil {
 		r.servers = map[uint64]*entry{}
 	}
-	e := &entry{server: s, heardAt: now}
+	e := &entry{server: s, heardAt: now, startSeenAt: now}
 	from := netip.AddrPort{}
 	if old, exists := r.servers[s.ID]; exists {
 		from = old.server.Address
@@ -308,6 +311,9 @@
 		if s.Silent {
 			e.heardAt = old.heardAt
 		}
+		if s.Incarnation == old.server.Incarnation {
+			e.startSeenAt = old.startSeenAt
+		}
 	}
 	r.digests[bucketOf(s.ID)] ^= s.placementHash()
 	r.servers[s.ID] = e
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -69,6 +69,35 @@
 		Expect(phase(1)).To(Equal(roster.Ready))
 	})
 
+	It("ends the start that a deregistration names, and no later one", func() {
+		r.RecordAnnouncement(0, server(1, 5, 1))
+		r.RecordAnnouncement(0, server(1, 6, 1).WithPhase(roster.Draining))
+		for incarnation, ends := range map[uint64]bool{5: false, 6: true, 7: false} {
+			_, found, err := r.Deregister(roster.Deregistration{ID: 1, Incarnation: incarnation})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found).To(Equal(ends))
+		}
+	})
+
+	It("ends no start that registered after the connection of the deregistration was opened", func() {
+		r.RecordAnnouncement(10, server(1, 5, 1))
+		r.RecordAnnouncement(20, server(1, 6, 1).WithPhase(roster.Draining))
+		r.RecordAnnouncement(40, server(1, 6, 2).WithPhase(roster.Draining))
+		_, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 15})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeFalse())
+		ended, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 30})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeTrue())
+		Expect(ended).To(Equal(server(1, 6, 2).WithPhase(roster.Gone)))
+	})
+
+	It("rejects a deregistration that names no start while the backend server is ready", func() {
+		r.RecordAnnouncement(10, server(1, 5, 1))
+		_, _, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 30})
+		Expect(err).To(MatchError(roster.ErrNotLeaving))
+	})
+
 	It("gives an address to the newest incarnation there, in either order", func() {
 		old, next := server(1, 5, 1), server(2, 6, 1)
 		next.Address = old.Address
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -276,11 +276,18 @@
 
 // Serve serves h at an address until the server is closed.
 func Serve(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+	return ServeConns(addr, h, nil)
+}
+
+// ServeConns is like Serve. newContext, unless nil, returns the context of the requests
+// on a connection that was just accepted.
+func ServeConns(addr netip.AddrPort, h http.Handler,
+	newContext func(ctx context.Context, c net.Conn) context.Context) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnContext: newContext}
 	go s.Serve(l)
 	return s, nil
 }
--- a/io/plane/counters.go
+++ b/io/plane/counters.go
@@ -50,7 +50,7 @@
 const (
 	confirmed   = "confirmed"
 	unconfirmed = "unconfirmed"
-	refused     = "refused" // the call was invalid and had no effect
+	refused     = "refused" // the call was invalid or ambiguous and had no effect
 )
 
 // outcome returns the label of a valid call.
@@ -64,7 +64,7 @@
 // CountRefusedProposal counts a proposed configuration that was rejected as invalid.
 func (r *Replica) CountRefusedProposal() { r.counters.proposals.WithLabelValues(refused).Inc() }
 
-// CountRefusedAnnouncement counts an announcement that was rejected as invalid.
+// CountRefusedAnnouncement counts an announcement or deregistration that was rejected.
 func (r *Replica) CountRefusedAnnouncement() { r.counters.announcements.WithLabelValues(refused).Inc() }
 
 func (c *counters) addGauges(r *Replica) {
--- a/io/plane/departures_test.go
+++ b/io/plane/departures_test.go
@@ -38,7 +38,9 @@
 		time.Sleep(1500 * time.Millisecond) // a checkpoint holds all three as ready
 		announce(first, server(1, 2).WithPhase(roster.Draining))
 		announce(first, server(2, 2).WithPhase(roster.Draining))
-		Eventually(func() error { return first.Deregister(withTimeout(time.Second), 2, 5) }, timeout).Should(Succeed())
+		Eventually(func() error {
+			return first.Deregister(withTimeout(time.Second), roster.Deregistration{ID: 2, Incarnation: 5})
+		}, timeout).Should(Succeed())
 	}
 
 	It("survive a restart of all replicas right after the acknowledgement", func() {
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -317,9 +317,9 @@
 			}
 		}
 		Expect(recorded).To(BeNumerically(">=", 2))
-		Expect(r.Deregister(withTimeout(time.Second), 1, 5)).To(Succeed())
+		Expect(r.Deregister(withTimeout(time.Second), roster.Deregistration{ID: 1, Incarnation: 5})).To(Succeed())
 		Expect(r.Servers()[0].Phase).To(Equal(roster.Gone))
-		Expect(r.Deregister(withTimeout(time.Second), 99, 0)).To(Succeed(), "unknown backend server")
+		Expect(r.Deregister(withTimeout(time.Second), roster.Deregistration{ID: 99})).To(Succeed(), "unknown backend server")
 	})
 
 	It("mark a silent backend server and restore the roster after a restart", func() {
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -125,18 +125,30 @@
 }
 
 // Deregister records that a backend server is gone. A call for an unknown backend
-// server or another incarnation succeeds without effect; incarnation 0 matches any.
-func (r *Replica) Deregister(ctx context.Context, id, incarnation uint64) error {
+// server or an earlier start succeeds without effect. It returns roster.ErrNotLeaving
+// when it cannot tell which start the call means.
+func (r *Replica) Deregister(ctx context.Context, d roster.Deregistration) error {
 	g := &r.registry
 	g.mu.Lock()
-	s, found := g.roster.Get(id)
+	ended, found, err := g.roster.Deregister(d)
 	g.mu.Unlock()
-	if !found || incarnation != 0 && incarnation != s.Incarnation {
+	log := r.log.WithField("server", logs.FormatServerID(d.ID)).WithField("incarnation", d.Incarnation)
+	switch {
+	case err != nil:
+		r.CountRefusedAnnouncement()
+		log.WithError(err).Warn("deregistrationRefused")
+		return err
+	case !found:
+		log.Info("deregistrationIgnored")
 		return nil
+	default:
+		return r.Announce(ctx, ended)
 	}
-	return r.Announce(ctx, s.WithPhase(roster.Gone))
 }
 
+// Now returns the time on the clock of the roster.
+func (r *Replica) Now() time.Duration { return r.now() }
+
 // publish sends changed records to the subscribed entry instances and to the other
 // replicas. With needAcks all replicas save the departures among them, and the returned
 // ackWait counts those that have; otherwise the replicas get the records in batches.
