Test full disks one after another

Reported by operators of similar systems: long after the last of several disks, full for a few seconds each and never two at once, had room again, changes were refused or stayed unanswered while all processes ran.

It is not seen here. A seam in io/store fails every write to a disk as a full one does. These tests passed at once.

--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -104,7 +104,10 @@
 	// ServerTimeout is how long a backend server may go without an announcement
 	// before it is marked as silent.
 	ServerTimeout time.Duration
-	Log           *logrus.Entry
+	// BeforeWrite, if set, is called before each write to disk, which fails with its
+	// error. Tests inject full disks with it.
+	BeforeWrite func() error
+	Log         *logrus.Entry
 }
 
 // Replica is one running control replica.
@@ -152,6 +155,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data directory %s: %w", cfg.Data, err)
 	}
+	st.BeforeWrite = cfg.BeforeWrite
 	r, err := newReplica(ctx, cfg, st, saved)
 	if err != nil {
 		st.Close()
--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"os"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +36,8 @@
 	replicas map[netip.AddrPort]*plane.Replica
 	// serverTimeout is when backend servers that do not announce themselves become silent.
 	serverTimeout time.Duration
+	// full holds whether the disk of each replica is full.
+	full map[netip.AddrPort]*atomic.Bool
 }
 
 func freeAddress() netip.AddrPort {
@@ -46,7 +50,9 @@
 func newCluster(voters int) *cluster { return newClusterWith(voters, time.Second) }
 
 func newClusterWith(voters int, serverTimeout time.Duration) *cluster {
-	s := &cluster{serverTimeout: serverTimeout, dirs: map[netip.AddrPort]string{}, replicas: map[netip.AddrPort]*plane.Replica{}}
+	s := &cluster{
+		serverTimeout: serverTimeout, dirs: map[netip.AddrPort]string{},
+		replicas: map[netip.AddrPort]*plane.Replica{}, full: map[netip.AddrPort]*atomic.Bool{}}
 	for range voters {
 		s.seeds = append(s.seeds, freeAddress())
 	}
@@ -69,7 +75,15 @@
 	if s.dirs[a] == "" {
 		s.dirs[a] = GinkgoT().TempDir()
 	}
+	full := &atomic.Bool{}
+	s.full[a] = full
 	r, err := plane.Start(context.Background(), plane.Config{
+		BeforeWrite: func() error {
+			if full.Load() {
+				return syscall.ENOSPC
+			}
+			return nil
+		},
 		Listen: a, Seeds: s.seeds, Bootstrap: bootstrap, Data: s.dirs[a], FaultTolerance: 1,
 		VoterTimeout: time.Second, ServerTimeout: s.serverTimeout, Log: logs.Discard(),
 	})
@@ -89,6 +103,10 @@
 	delete(s.dirs, a)
 }
 
+func (s *cluster) addressOf(r *plane.Replica) netip.AddrPort {
+	return netip.MustParseAddrPort(quorum.AddressOf(r.ID()))
+}
+
 func (s *cluster) any() *plane.Replica {
 	for _, r := range s.replicas {
 		return r
--- a/io/store/departures.go
+++ b/io/store/departures.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.beforeWrite(); err != nil {
+		return fmt.Errorf("append to departures: %w", err)
+	}
 	if _, err := s.departures.Write(data); err != nil {
 		return fmt.Errorf("append to departures: %w", err)
 	}
@@ -42,6 +45,9 @@
 // its records has been saved. Records that come back after a loss of power do no harm,
 // since merging them again changes nothing.
 func (s *Store) ClearDepartures() error {
+	if err := s.beforeWrite(); err != nil {
+		return fmt.Errorf("clear departures: %w", err)
+	}
 	if err := s.departures.Truncate(0); err != nil {
 		return fmt.Errorf("clear departures: %w", err)
 	}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -83,6 +83,10 @@
 // Store is an open data directory. Its methods must be called from one goroutine, except
 // that a second goroutine may save checkpoints and departures.
 type Store struct {
+	// BeforeWrite, if set, is called before each write, which fails with its error. It
+	// must be set before the first write. Tests inject full disks with it.
+	BeforeWrite func() error
+
 	dir        string
 	log        file
 	departures file
@@ -167,6 +171,9 @@
 	if s.snapshotIncomplete {
 		return errSnapshotIncomplete
 	}
+	if err := s.beforeWrite(); err != nil {
+		return err
+	}
 	if err := s.repair(); err != nil {
 		return err
 	}
@@ -181,6 +188,13 @@
 
 var errSnapshotIncomplete = errors.New("the failed SaveSnapshot call must be repeated first")
 
+func (s *Store) beforeWrite() error {
+	if s.BeforeWrite == nil {
+		return nil
+	}
+	return s.BeforeWrite()
+}
+
 func (s *Store) appendSynced(data []byte) error {
 	if _, err := s.log.Write(data); err != nil {
 		return err
@@ -232,6 +246,9 @@
 
 // replaceFile atomically replaces a file by one with the given contents, and syncs it.
 func (s *Store) replaceFile(name string, data []byte) error {
+	if err := s.beforeWrite(); err != nil {
+		return fmt.Errorf("write temporary file: %w", err)
+	}
 	path := filepath.Join(s.dir, name)
 	tmp, err := os.OpenFile(path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
