Number requests between processes from a random number on

What callers would see: a read of the configuration that is older than an acknowledged one, or an acknowledged departure of a backend server that is lost with a restart.

Cause: each process numbered its requests from 1, and an answer names only the number. An answer that its sender held back, while it was paused or waited for its disk, reached the next process at that address and counted for a request of the same number.

Change: requests are numbered from a random number on: reads and records to acknowledge in io/plane, calls to the leader in io/ctrl, claims and announcements in io/entry, flow queries in core/agent and writes in core/shard.

Ruled out: messages of the log. They name the disk of both ends and the term, and an acknowledgement the tick at which the leader sent what it acknowledges. Records and heartbeats of backend servers name incarnation and sequence. The status of a replica of a fixed set is determined when it is sent, and its connection ends with the process that asked.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -59,6 +59,10 @@
 type Config struct {
 	Self   model.InstanceID
 	Limits flow.Limits
+	// FirstID is the number after which queries and writes are numbered. It should
+	// be random, so that a late response to an earlier process of the instance
+	// matches none of them.
+	FirstID uint64
 	// ReplicationFactor is the number of replicas of a shard. 0 means 2.
 	ReplicationFactor int
 }
@@ -99,10 +103,10 @@
 // New returns an agent at version 0, without a lease.
 func New(cfg Config) *Agent {
 	a := &Agent{self: cfg.Self, balancer: flow.NewBalancer(cfg.Limits), fetches: map[string]*pendingFetch{}}
-	a.queries.init()
+	a.queries.init(cfg.FirstID)
 	a.policy = flow.RecordPolicy{View: a.balancer.View, Autonomous: a.balancer.IsAutonomous}
 	a.store = shard.New(shard.Config[flow.Key, flow.Record]{
-		Self: cfg.Self, ReplicationFactor: cfg.ReplicationFactor, Salt: "flow", ShardOf: flow.ShardOf, Decide: a.policy.Decide,
+		Self: cfg.Self, FirstID: cfg.FirstID, ReplicationFactor: cfg.ReplicationFactor, Salt: "flow", ShardOf: flow.ShardOf, Decide: a.policy.Decide,
 		LocalRecords: a.balancer.RecordedFlows,
 		Fenced:       func() bool { return !a.balancer.AcceptsNewFlows(a.now) },
 		OnResponse:   a.onResponse,
--- a/core/agent/query.go
+++ b/core/agent/query.go
@@ -51,7 +51,8 @@
 	pendingPreparations int
 }
 
-func (qs *queries) init() {
+func (qs *queries) init(firstID uint64) {
+	qs.lastID = firstID
 	qs.byID = map[uint64]*pendingQuery{}
 	qs.byKey = map[flow.Key]*pendingQuery{}
 }
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -60,6 +60,9 @@
 // Config configures a store. Self, ShardOf and Decide must be set.
 type Config[K comparable, V any] struct {
 	Self model.InstanceID
+	// FirstID is the number after which writes are numbered. It should be random, so
+	// that a late acknowledgement to an earlier process of the instance matches none.
+	FirstID uint64
 	// ReplicationFactor is the number of replicas of a shard. 0 means 2.
 	ReplicationFactor int
 	// Salt makes the placements of different stores independent.
@@ -152,7 +155,7 @@
 	if cfg.OnResponse == nil {
 		cfg.OnResponse = func(Response[V]) {}
 	}
-	return &Store[K, V]{cfg: cfg, writes: map[uint64]*write[K, V]{}, writesByKey: map[K]*write[K, V]{}}
+	return &Store[K, V]{cfg: cfg, seq: cfg.FirstID, writes: map[uint64]*write[K, V]{}, writesByKey: map[K]*write[K, V]{}}
 }
 
 // Version returns the current membership version.
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -24,6 +24,7 @@
 	stores    map[model.InstanceID]*store
 	down      map[model.InstanceID]bool
 	responses map[model.InstanceID][]shard.Response[string]
+	firstID   uint64 // of the next store
 }
 
 func newNetwork(ids ...model.InstanceID) *network {
@@ -37,7 +38,7 @@
 
 func (n *network) boot(id model.InstanceID) {
 	n.stores[id] = shard.New(shard.Config[uint64, string]{
-		Self: id, ShardOf: func(k uint64) int { return int(k % shard.Shards) },
+		Self: id, FirstID: n.firstID, ShardOf: func(k uint64) int { return int(k % shard.Shards) },
 		Decide: func(_ uint64, arg, old string, exists bool) (string, bool) {
 			if exists {
 				return old, false
@@ -145,6 +146,26 @@
 		expectFirst("a")
 	})
 
+	// A replica that was paused may acknowledge a write of an earlier process of the
+	// primary when the present process waits for another write.
+	It("does not count a late acknowledgement of an earlier process's write", func() {
+		n.firstID = 1000
+		n.boot("a")
+		n.setMembers(2, all, map[model.InstanceID]uint64{"a": 2, "b": 1, "c": 1, "d": 1})
+		for _, id := range all[1:] {
+			n.down[id] = true
+		}
+		for k := range uint64(keys) {
+			Expect(n.request("a", k, "x")).To(BeEmpty(), "key %d", k)
+			for seq := range uint64(keys) {
+				for _, id := range all[1:] {
+					n.send("a", n.stores["a"].Handle(id, shard.Message[uint64, string]{ReplicateAck: &shard.ReplicateAck{Seq: seq + 1}}))
+				}
+			}
+			Expect(n.responses["a"]).To(BeEmpty(), "key %d", k)
+		}
+	})
+
 	It("responds to a request of a later membership version once it has that version", func() {
 		next := map[model.InstanceID]uint64{"a": 1, "b": 1}
 		n.send("a", n.stores["a"].SetMembers(2, []shard.Member{{ID: "a", Joined: 1}, {ID: "b", Joined: 1}}))
--- a/io/ctrl/replica.go
+++ b/io/ctrl/replica.go
@@ -135,7 +135,7 @@
 		state: state.New(), tasks: make(chan func(), taskQueueSize),
 		peers: map[string]*links.Client[proto.ToReplica, proto.ToReplica]{}, pendingProposals: map[uint64]pendingProposal{},
 		pendingForwards: map[uint64]func(proto.Reply){}, applied: make(chan struct{}),
-		stopped: make(chan struct{}), start: time.Now(),
+		stopped: make(chan struct{}), start: time.Now(), lastForwardID: proto.FirstID(),
 	}
 	if r.cfg.Now == nil {
 		base := r.start.UnixMilli()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -100,7 +100,8 @@
 			ID: model.InstanceID(s.Name), Zone: s.Zone, Peer: s.Peer, Gateway: s.Gateway,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		agent: agent.New(agent.Config{Self: model.InstanceID(s.Name), Limits: flow.Limits{
+		lastRequestID: proto.FirstID(),
+		agent: agent.New(agent.Config{Self: model.InstanceID(s.Name), FirstID: proto.FirstID(), Limits: flow.Limits{
 			MaxFlows: s.Limits.MaxFlows, MaxHalfOpen: s.Limits.MaxHalfOpen, Seed: rand.Uint64()}}),
 		tasks:                make(chan func(), queueSize),
 		queries:              make(chan agent.Query, queueSize),
@@ -131,7 +132,7 @@
 
 func (e *Entry) newClaimStore() {
 	e.claims = shard.New(shard.Config[claim.Key, claim.Record]{
-		Self: e.self.ID, ReplicationFactor: claimReplicas, Salt: "claim", ShardOf: claim.ShardOf, Decide: claim.Decide,
+		Self: e.self.ID, FirstID: proto.FirstID(), ReplicationFactor: claimReplicas, Salt: "claim", ShardOf: claim.ShardOf, Decide: claim.Decide,
 		Merge: claim.Merge, OnResponse: e.handleClaimResponse,
 		Fenced: func() bool { return !e.balancer.HasLease(e.now()) },
 	})
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -129,7 +129,7 @@
 	pendingReads    []readRequest                 // await a round of acknowledgements
 	forwardedReads  map[uint64]func(index uint64) // callbacks of reads sent to the leader, by identifier
 	applyWaiters    []applyWaiter
-	readID          uint64
+	readID          uint64 // of the latest read, counted from proto.FirstID
 	joinSentAt      time.Duration
 	configChanged   chan struct{} // closed and replaced when current changes
 	contactAt       atomic.Int64  // time of the latest contact with the leader
@@ -187,7 +187,7 @@
 	r := &Replica{
 		cfg: cfg, id: identity.ID, store: st, tasks: make(chan func(), taskQueueLen),
 		forwardedReads: map[uint64]func(uint64){}, configChanged: make(chan struct{}),
-		stopped: make(chan struct{}), start: timer.SinceBoot(),
+		stopped: make(chan struct{}), start: timer.SinceBoot(), readID: proto.FirstID(),
 	}
 	r.log = cfg.Log.WithField("replica", r.id)
 	r.ctx, r.cancel = context.WithCancel(ctx)
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -24,7 +24,7 @@
 	hub          feed.Hub
 	voters       []string
 	contactSince time.Duration // start of the present period of contact with the others
-	serial       uint64
+	serial       uint64        // of the latest records to acknowledge, counted from proto.FirstID
 	ackWaits     map[uint64]*ackWait
 	// confirmed holds the latest departure of each backend server that a majority of
 	// the voters is known to have on disk.
@@ -69,6 +69,7 @@
 	g.hub.AllServers, g.hub.Digest, g.hub.Differing, g.hub.Log = g.all, g.digest, g.differing, r.log
 	g.hub.OnFailures = r.outliers.report
 	g.hub.Configure(r.state.Configuration)
+	g.serial = proto.FirstID()
 	g.ackWaits = map[uint64]*ackWait{}
 	g.confirmed = map[uint64]departure{}
 	g.queriedAt = map[string]time.Duration{}
