Close the link that has not been wanted for longest when all are in use

Seen in the code by the review, without a run.

Cause: a replica keeps a link to each address that was ever a voter, a seed or joined, at most 32, and closed none. For the next address there was none left.

Change: at the limit a new link replaces the one that has not been wanted for longest. Voters, seeds and the leader are wanted in each tick, joining replicas twice a second.

Evidence: "links to replaced replicas give way to links to new replicas" failed before.

--- a/io/plane/mesh.go
+++ b/io/plane/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"boragepost/core/quorum"
 	"boragepost/io/links"
@@ -21,6 +22,8 @@
 type peerLink struct {
 	client *links.Client[proto.ToPlane, proto.ToPlane]
 	close  context.CancelFunc
+	// wantedAt is when link was last called for the address.
+	wantedAt time.Duration
 }
 
 // maxLinks bounds the number of links. It leaves room for replacements of voters.
@@ -31,16 +34,25 @@
 	m.links = map[string]*peerLink{}
 }
 
-// link opens links to addresses that have none.
+// link opens links to addresses that have none. Beyond maxLinks it closes the link that
+// has not been wanted for longest.
 func (m *mesh) link(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.r.now()
 	for _, a := range addresses {
-		if m.links[a] != nil || a == m.r.cfg.Listen.String() || len(m.links) >= maxLinks {
+		if l := m.links[a]; l != nil {
+			l.wantedAt = now
 			continue
 		}
+		if a == m.r.cfg.Listen.String() {
+			continue
+		}
+		if len(m.links) >= maxLinks {
+			m.closeLeastWanted()
+		}
 		ctx, cancel := context.WithCancel(m.r.ctx)
-		m.links[a] = &peerLink{close: cancel, client: links.NewClient(ctx, a, proto.PlanePath,
+		m.links[a] = &peerLink{close: cancel, wantedAt: now, client: links.NewClient(ctx, a, proto.PlanePath,
 			links.Options[proto.ToPlane, proto.ToPlane]{
 				Meter: &m.r.meter, Heartbeat: proto.LinkHeartbeat,
 				Opened: func(c *links.Conn[proto.ToPlane, proto.ToPlane]) {
@@ -52,6 +64,17 @@
 	}
 }
 
+func (m *mesh) closeLeastWanted() {
+	least := ""
+	for a, l := range m.links {
+		if least == "" || l.wantedAt < m.links[least].wantedAt {
+			least = a
+		}
+	}
+	m.links[least].close()
+	delete(m.links, least)
+}
+
 // SetSeeds replaces the addresses from which other replicas are discovered. Links
 // to former seeds stay.
 func (r *Replica) SetSeeds(seeds []netip.AddrPort) {
