Play departures also in sets that tolerate two losses

TestDeparturesKeepTheQuorum and the three tests beside it draw a tolerance of one or two, and lose as many disks or replicas at once.

--- a/core/quorum/departure_test.go
+++ b/core/quorum/departure_test.go
@@ -21,18 +21,39 @@
 	replacementTicks = 20
 )
 
-// departures plays losses and replacements of machines of which at most one at a time
-// counts as lost.
+// departures plays losses and replacements of machines of which at most tolerance at a
+// time count as lost.
 type departures struct {
 	*dynamicCluster
-	t       *rapid.T
-	started int
+	t         *rapid.T
+	tolerance int
+	started   int
+}
+
+// newDepartures returns a set that tolerates one or two losses.
+func newDepartures(t *rapid.T) *departures {
+	tolerance := rapid.IntRange(1, 2).Draw(t, "tolerance")
+	initialVoters := []string{"a", "b", "c", "d", "e"}[:2*tolerance+1]
+	c := newDynamicClusterOf(t, quorum.MembershipLimits{MinVoters: 2*tolerance + 1}, initialVoters...)
+	d := &departures{dynamicCluster: c, t: t, tolerance: tolerance}
+	d.advance(40)
+	return d
 }
 
 func (d *departures) pick(label string) *replica {
 	return d.replicas[rapid.IntRange(0, len(d.replicas)-1).Draw(d.t, label)]
 }
 
+// pickLost returns up to tolerance replicas, at least one.
+func (d *departures) pickLost() []*replica {
+	first := rapid.IntRange(0, len(d.replicas)-1).Draw(d.t, "first")
+	var lost []*replica
+	for i := range rapid.IntRange(1, d.tolerance).Draw(d.t, "lost") {
+		lost = append(lost, d.replicas[(first+i)%len(d.replicas)])
+	}
+	return lost
+}
+
 func (d *departures) ticks(label string, most int) int {
 	return rapid.IntRange(0, most).Draw(d.t, label)
 }
@@ -71,13 +92,16 @@
 	}
 }
 
-// wipe restarts a replica without its disk and gives it time to catch up.
-func (d *departures) wipe(r *replica) {
-	address := quorum.AddressOf(r.id)
-	d.end(r)
+// wipe restarts replicas without their disks and gives them time to catch up.
+func (d *departures) wipe(lost ...*replica) {
+	for _, r := range lost {
+		d.end(r)
+	}
 	d.advance(d.ticks("down", maxDownTicks))
-	d.started++
-	d.add(quorum.MakeID(address, fmt.Sprint("disk", d.started)), nil)
+	for _, r := range lost {
+		d.started++
+		d.add(quorum.MakeID(quorum.AddressOf(r.id), fmt.Sprint("disk", d.started)), nil)
+	}
 	d.advance(departCatchUpTicks)
 }
 
@@ -106,12 +130,16 @@
 	d.advance(departCatchUpTicks)
 }
 
-// replaceLost starts the successor of a replica that ended without notice, at most
+// replaceLost starts the successors of replicas that ended without notice, at most
 // lateTicks later.
-func (d *departures) replaceLost(r *replica, lateTicks int) {
-	d.end(r)
+func (d *departures) replaceLost(lateTicks int, lost ...*replica) {
+	for _, r := range lost {
+		d.end(r)
+	}
 	d.advance(d.ticks("late", lateTicks))
-	d.startSuccessor()
+	for range lost {
+		d.startSuccessor()
+	}
 	d.advance(departCatchUpTicks)
 }
 
@@ -120,7 +148,7 @@
 func (d *departures) loseSuccessor() {
 	s := d.startSuccessor()
 	d.advance(d.ticks("age", departCatchUpTicks))
-	d.replaceLost(s, maxDownTicks)
+	d.replaceLost(maxDownTicks, s)
 }
 
 func (d *departures) freeze() {
@@ -158,8 +186,7 @@
 // count: with them, the loss of one more disk used to leave no quorum.
 func TestDeparturesKeepTheQuorum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
-		d.advance(40)
+		d := newDepartures(t)
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
 			step := rapid.SampledFrom([]string{"planned", "several", "restart", "lost", "wipe", "successorLost", "freeze"}).Draw(t, "step")
 			switch step {
@@ -170,9 +197,9 @@
 			case "restart":
 				d.restartPlanned()
 			case "lost":
-				d.replaceLost(d.pick("replica"), maxDownTicks)
+				d.replaceLost(maxDownTicks, d.pickLost()...)
 			case "wipe":
-				d.wipe(d.pick("replica"))
+				d.wipe(d.pickLost()...)
 			case "successorLost":
 				d.loseSuccessor()
 			case "freeze":
@@ -190,8 +217,7 @@
 // the request to leave and the end of the old replica.
 func TestDiskLostDuringDepartureKeepsTheQuorum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
-		d.advance(40)
+		d := newDepartures(t)
 		d.startSuccessor()
 		d.advance(departCatchUpTicks)
 		leaving := d.pick("leaving")
@@ -215,13 +241,12 @@
 // quorum used to be left.
 func TestLostSuccessorKeepsTheQuorum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
-		d.advance(40)
+		d := newDepartures(t)
 		d.end(d.pick("lost"))
 		d.advance(replacementTicks)
 		s := d.startSuccessor()
 		d.advance(d.ticks("age", replacementTicks))
-		d.replaceLost(s, maxDownTicks)
+		d.replaceLost(maxDownTicks, s)
 		d.expectCommit("lost successor")
 	})
 }
@@ -230,8 +255,7 @@
 // of the same replica: neither may remove or release the process that runs now.
 func TestStaleDepartureHasNoEffect(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &departures{dynamicCluster: newDynamicCluster(t), t: t}
-		d.advance(40)
+		d := newDepartures(t)
 		d.startSuccessor()
 		d.advance(departCatchUpTicks)
 		r := d.pick("replica")
@@ -252,9 +276,7 @@
 		}
 		d.restart(r)
 		d.advance(departCatchUpTicks)
-		for _, m := range stale {
-			d.messages = append(d.messages, m)
-		}
+		d.messages = append(d.messages, stale...)
 		d.advance(5)
 		if leader.node.Role() == quorum.Leader && !leader.node.IsVoter(r.id) {
 			t.Fatalf("%s was removed by a request of its earlier stop%s", r.id, d.describe())
--- a/core/quorum/history_test.go
+++ b/core/quorum/history_test.go
@@ -30,6 +30,7 @@
 	paused   bool   // receives no ticks and messages, like a paused process
 	clock    uint64 // tick up to which its clock has advanced
 	dynamic  bool   // dynamic membership
+	limits   quorum.MembershipLimits
 	voters   []string
 }
 
@@ -60,7 +61,7 @@
 func (c *cluster) restart(r *replica) {
 	r.clock = c.now
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(r.id), uint64(len(c.committed))))
-	config := quorum.Config{ID: r.id, InitialVoters: r.voters, DynamicMembership: r.dynamic, Rand: random.IntN}
+	config := quorum.Config{ID: r.id, InitialVoters: r.voters, DynamicMembership: r.dynamic, MembershipLimits: r.limits, Rand: random.IntN}
 	r.node = quorum.New(config, quorum.PersistentState{HardState: r.disk.HardState, Snapshot: r.disk.Snapshot, Entries: slices.Clone(r.disk.Entries)})
 }
 
--- a/core/quorum/membership_test.go
+++ b/core/quorum/membership_test.go
@@ -18,6 +18,7 @@
 	diskLostAt uint64 // tick of the latest lost disk
 	diskCount  int
 	reads      []pendingRead
+	limits     quorum.MembershipLimits
 }
 
 // pendingRead is a read that a leader has yet to confirm.
@@ -30,9 +31,12 @@
 }
 
 func newDynamicCluster(t *rapid.T) *dynamicCluster {
-	c := &dynamicCluster{cluster: &cluster{
+	return newDynamicClusterOf(t, quorum.MembershipLimits{}, "a", "b", "c")
+}
+
+func newDynamicClusterOf(t *rapid.T, limits quorum.MembershipLimits, initialVoters ...string) *dynamicCluster {
+	c := &dynamicCluster{limits: limits, cluster: &cluster{
 		t: t, committed: map[uint64]quorum.Entry{}, leaders: map[uint64]string{}, cutPairs: map[string]bool{}}}
-	initialVoters := []string{"a", "b", "c"}
 	for _, id := range initialVoters {
 		c.add(id, initialVoters)
 	}
@@ -40,7 +44,7 @@
 }
 
 func (c *dynamicCluster) add(id string, initialVoters []string) *replica {
-	r := &replica{id: id, dynamic: true, voters: initialVoters}
+	r := &replica{id: id, dynamic: true, limits: c.limits, voters: initialVoters}
 	c.replicas = append(c.replicas, r)
 	c.restart(r)
 	return r
