Name the start in failure reports and ejections of backend servers

What callers would see: a backend server that has started again under its identifier gets no new flows for up to 16 s, while the others carry its load.

Cause: reports of failed requests and ejections named only the identifier. Requests that the former start left open also counted as stuck and as in flight at the new one.

Change: both name the incarnation; entry instances and the detector ignore what is about an earlier start. When a start is recorded, the observations of the former one are dropped.

Evidence: "does not count failures and ejections of an earlier start" and "does not count late reports of an earlier start" fail without the change. A message without the new field, from a process of the former version, counts as one of incarnation 0, which is ignored.

--- a/core/flow/cookie.go
+++ b/core/flow/cookie.go
@@ -147,6 +147,7 @@
 	for id, s := range b.servers {
 		if _, ok := b.roster.Get(id); !ok {
 			b.remove(s)
+			b.Load.ForgetStart(id)
 		}
 	}
 }
@@ -165,6 +166,7 @@
 		b.remove(old)
 	}
 	b.servers[s.ID] = s
+	b.Load.RecordStart(s.ID, s.Incarnation)
 	cookie := CookieOf(s.ID)
 	b.removeFromPool(cookie)
 	b.sharers[cookie] = append(b.sharers[cookie], s)
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -111,7 +111,9 @@
 	routes  map[netip.AddrPort]*routeStats
 	// failures counts short responses and stuck requests by backend server, not yet
 	// returned by TakeFailures.
-	failures  map[uint64]int
+	failures map[uint64]int
+	// starts holds the incarnations of the known backend servers.
+	starts    map[uint64]uint64
 	scannedAt time.Duration // time of the latest DetectStuckRequests
 	// arrivals counts the flows that began at other instances, and reroutedAt is when
 	// they were last so many that the network has distributed the flows anew.
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -136,6 +136,32 @@
 		Expect(pick(5*time.Second, sameZone)).To(Equal(picked), "the ejection was revoked")
 	})
 
+	// A backend server that has started again used to be avoided for failures of its
+	// former start, also when these were reported or decided on afterwards.
+	It("does not count failures and ejections of an earlier start", func() {
+		const first, second = 1000, 2000
+		for _, c := range sameZone {
+			t.RecordStart(c.ID, first)
+		}
+		for key := range uint64(20) {
+			exchange(0, key, 1+key%2, 4000)
+		}
+		picked := pick(time.Second, sameZone)
+		exchange(time.Second, 100, picked, 200)
+		t.Eject(time.Second, load.Ejection{ID: picked, Period: 8 * time.Second, Incarnation: first})
+		t.Open(time.Second, 101, picked)
+		t.Observe(time.Second, 101, picked, load.Packet{Data: true})
+		t.RecordStart(picked, second)
+		t.Expire(2*time.Second, time.Minute)
+		Expect(pick(2*time.Second, sameZone)).To(Equal(picked))
+		t.DetectStuckRequests(3 * time.Second)
+		Expect(t.TakeFailures()).To(BeEmpty())
+		t.Eject(3*time.Second, load.Ejection{ID: picked, Period: 8 * time.Second, Incarnation: first})
+		Expect(pick(4*time.Second, sameZone)).To(Equal(picked))
+		t.Eject(4*time.Second, load.Ejection{ID: picked, Period: 8 * time.Second, Incarnation: second})
+		Expect(pick(5*time.Second, sameZone)).NotTo(Equal(picked))
+	})
+
 	It("picks an ejected backend server if there is no other", func() {
 		t.Eject(0, load.Ejection{ID: 1, Period: time.Second})
 		Expect(pick(0, sameZone[:1])).To(Equal(uint64(1)))
@@ -245,6 +271,15 @@
 		}
 	})
 
+	It("does not count late reports of an earlier start", func() {
+		var detector load.OutlierDetector
+		Expect(detector.Report(0, 40, []load.Failures{{ID: 7, Count: 9, Incarnation: 1000}})).To(HaveLen(1))
+		Expect(detector.Report(100*ms, 40, []load.Failures{{ID: 7, Count: 1, Incarnation: 2000}})).To(BeEmpty())
+		Expect(detector.Report(200*ms, 40, []load.Failures{{ID: 7, Count: 9, Incarnation: 1000}})).To(BeEmpty())
+		Expect(detector.Report(300*ms, 40, []load.Failures{{ID: 7, Count: 9, Incarnation: 2000}})).To(Equal(
+			[]load.Ejection{{ID: 7, Period: 2 * time.Second, Incarnation: 2000}}))
+	})
+
 	It("ends all ejections when most backend servers fail", func() {
 		var detector load.OutlierDetector
 		Expect(detector.Report(0, 20, []load.Failures{{ID: 7, Count: 9}})).To(HaveLen(1))
--- a/core/load/outliers.go
+++ b/core/load/outliers.go
@@ -12,6 +12,8 @@
 type Failures struct {
 	ID    uint64 `cbor:"1,keyasint"`
 	Count int    `cbor:"2,keyasint"`
+	// Incarnation is the start of the backend server that failed them.
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Ejection keeps new flows away from a backend server for Period. A zero Period ends
@@ -19,6 +21,8 @@
 type Ejection struct {
 	ID     uint64        `cbor:"1,keyasint"`
 	Period time.Duration `cbor:"2,keyasint"`
+	// Incarnation is the start of the backend server that is ejected.
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -50,8 +54,9 @@
 	total   decayingSum
 }
 
-// outlierStats holds the failures and ejections of one backend server.
+// outlierStats holds the failures and ejections of one start of a backend server.
 type outlierStats struct {
+	incarnation  uint64
 	failures     decayingSum
 	ejectedUntil time.Duration
 	period       time.Duration // period of the latest ejection
@@ -65,10 +70,13 @@
 	}
 	for _, report := range reports {
 		s := o.servers[report.ID]
-		if s == nil {
-			s = &outlierStats{}
+		if s == nil || s.incarnation < report.Incarnation {
+			s = &outlierStats{incarnation: report.Incarnation}
 			o.servers[report.ID] = s
 		}
+		if report.Incarnation < s.incarnation {
+			continue // the backend server has started again since
+		}
 		s.failures.add(now, float64(report.Count))
 		o.total.add(now, float64(report.Count))
 	}
@@ -80,7 +88,7 @@
 	for _, report := range reports {
 		s := o.servers[report.ID]
 		if now >= s.ejectedUntil && s.failures.add(now, 0) >= minFailures+outlierRatio*average {
-			ejections = append(ejections, Ejection{ID: report.ID, Period: s.eject(now)})
+			ejections = append(ejections, Ejection{ID: report.ID, Period: s.eject(now), Incarnation: s.incarnation})
 		}
 	}
 	return ejections
@@ -103,7 +111,7 @@
 	for _, id := range slices.Sorted(maps.Keys(o.servers)) {
 		if s := o.servers[id]; now < s.ejectedUntil {
 			s.ejectedUntil, s.period = now, 0
-			ended = append(ended, Ejection{ID: id})
+			ended = append(ended, Ejection{ID: id, Incarnation: s.incarnation})
 		}
 	}
 	return ended
--- a/core/load/responses.go
+++ b/core/load/responses.go
@@ -175,14 +175,18 @@
 	}
 	var out []Failures
 	for _, id := range slices.Sorted(maps.Keys(t.failures)) {
-		out = append(out, Failures{ID: id, Count: t.failures[id]})
+		out = append(out, Failures{ID: id, Count: t.failures[id], Incarnation: t.starts[id]})
 	}
 	clear(t.failures)
 	return out
 }
 
-// Eject applies an ejection decided by OutlierDetector.
+// Eject applies an ejection decided by OutlierDetector, unless the backend server has
+// started again since.
 func (t *Tracker) Eject(now time.Duration, e Ejection) {
+	if e.Incarnation < t.starts[e.ID] {
+		return
+	}
 	t.server(e.ID).ejectedUntil = now + e.Period
 }
 
