--- a/core/quorum/departure.go
+++ b/core/quorum/leave.go
@@ -6,25 +6,25 @@
 // of the request names one stop of one process: a late message of an earlier stop
 // neither requests nor grants anything.
 
-// RequestDeparture starts to ask the leader to remove this replica from the voters.
+// RequestLeave starts to ask the leader to remove this replica from the voters.
 // request must not be 0 and should be random. A leader first hands over to another
 // voter. The replica takes part as before until the caller stops it.
-func (n *Node) RequestDeparture(request uint64) { n.departure = request }
+func (n *Node) RequestLeave(request uint64) { n.leaveID = request }
 
-// Departing reports whether RequestDeparture was called.
-func (n *Node) Departing() bool { return n.departure != 0 }
+// Leaving reports whether RequestLeave was called.
+func (n *Node) Leaving() bool { return n.leaveID != 0 }
 
-// DepartureGranted reports whether this replica may stop: the set without it is
+// LeaveGranted reports whether this replica may stop: the set without it is
 // committed, or the set cannot shrink and no learner is at hand to replace it.
-func (n *Node) DepartureGranted() bool {
+func (n *Node) LeaveGranted() bool {
 	if n.role == Leader {
-		return n.mayDepart(n.cfg.ID) && n.transferTarget() == ""
+		return n.mayLeave(n.cfg.ID) && n.transferTarget() == ""
 	}
-	return n.departureGranted
+	return n.leaveGranted
 }
 
-// mayDepart reports on the leader whether a replica may stop.
-func (n *Node) mayDepart(id string) bool {
+// mayLeave reports on the leader whether a replica may stop.
+func (n *Node) mayLeave(id string) bool {
 	if !n.cfg.DynamicMembership {
 		return true
 	}
@@ -37,7 +37,7 @@
 // hasSuccessor reports whether a learner responds that may replace a voter.
 func (n *Node) hasSuccessor() bool {
 	for id, p := range n.progress {
-		if !n.IsVoter(id) && p.departure == 0 && n.isResponsive(p) {
+		if !n.IsVoter(id) && p.leaveID == 0 && n.isResponsive(p) {
 			return true
 		}
 	}
@@ -46,16 +46,16 @@
 
 // recordGrant records whether an append grants this replica's request.
 func (n *Node) recordGrant(m Message) {
-	if n.departure != 0 && m.Departure == n.departure {
-		n.departureGranted = true
+	if n.leaveID != 0 && m.LeaveID == n.leaveID {
+		n.leaveGranted = true
 	}
 }
 
-// recordDeparture records whether a replica wants to leave, from a reply that is not
+// recordLeave records whether a replica wants to leave, from a reply that is not
 // older than the latest one.
-func (p *progress) recordDeparture(reply Message) {
+func (p *progress) recordLeave(reply Message) {
 	if reply.SentTick >= p.ackedAt {
-		p.departure = reply.Departure
+		p.leaveID = reply.LeaveID
 	}
 }
 
@@ -64,7 +64,7 @@
 func (n *Node) transferTarget() string {
 	for _, id := range n.log.voters {
 		p := n.progress[id]
-		if id != n.cfg.ID && p.departure == 0 && n.isResponsive(p) && p.match == n.log.last() {
+		if id != n.cfg.ID && p.leaveID == 0 && n.isResponsive(p) && p.match == n.log.last() {
 			return id
 		}
 	}
@@ -74,7 +74,7 @@
 // transferLeadership lets another voter campaign at once if this leader is about to
 // stop. It is repeated each election timeout until another leader is elected.
 func (n *Node) transferLeadership() {
-	if n.departure == 0 || !n.cfg.DynamicMembership || n.now-n.transferredAt < uint64(n.cfg.ElectionTicks) {
+	if n.leaveID == 0 || !n.cfg.DynamicMembership || n.now-n.transferredAt < uint64(n.cfg.ElectionTicks) {
 		return
 	}
 	if target := n.transferTarget(); target != "" {
@@ -86,7 +86,7 @@
 // handleTransfer campaigns at the request of the leader of the current term. The
 // votes are granted although the others still hear from that leader.
 func (n *Node) handleTransfer(m Message) {
-	if n.role == Follower && n.leader == m.From && n.IsVoter(n.cfg.ID) && n.departure == 0 {
+	if n.role == Follower && n.leader == m.From && n.IsVoter(n.cfg.ID) && n.leaveID == 0 {
 		n.campaign(Candidate, true)
 	}
 }
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -114,7 +114,7 @@
 // removeVoter removes a voter. One that leaves still receives appends, which tell it
 // when it may stop.
 func (n *Node) removeVoter(removed string) {
-	if n.progress[removed].departure == 0 {
+	if n.progress[removed].leaveID == 0 {
 		delete(n.progress, removed)
 	}
 	n.appendEntry(Entry{Voters: slices.DeleteFunc(slices.Clone(n.log.voters), func(id string) bool { return id == removed })})
@@ -123,7 +123,7 @@
 // caughtUpLearner returns a learner whose log holds all committed entries, or "".
 func (n *Node) caughtUpLearner() string {
 	for id, p := range n.progress {
-		if !n.IsVoter(id) && p.match >= n.log.commit && p.departure == 0 && n.isResponsive(p) {
+		if !n.IsVoter(id) && p.match >= n.log.commit && p.leaveID == 0 && n.isResponsive(p) {
 			return id
 		}
 	}
@@ -155,7 +155,7 @@
 	}
 	longest := ""
 	for _, id := range n.log.voters {
-		if id != n.cfg.ID && n.progress[id].departure != 0 {
+		if id != n.cfg.ID && n.progress[id].leaveID != 0 {
 			return id
 		}
 		if id == n.cfg.ID || n.now-n.progress[id].ackedAt <= limits.VoterTimeoutTicks {
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -41,9 +41,9 @@
 	ReadRound uint64 `cbor:"13,keyasint,omitempty"`
 	// RejectedIndex is the Index of a rejected append.
 	RejectedIndex uint64 `cbor:"14,keyasint,omitempty"`
-	// Departure is the number of the sender's request to leave the voters in a reply
+	// LeaveID is the number of the sender's request to leave the voters in a reply
 	// to an append, and the number of the request that the leader grants in an append.
-	Departure uint64 `cbor:"15,keyasint,omitempty"`
+	LeaveID uint64 `cbor:"15,keyasint,omitempty"`
 	// Transfer is set in a vote request if the leader has asked the sender to campaign.
 	Transfer bool `cbor:"16,keyasint,omitempty"`
 }
@@ -196,6 +196,6 @@
 func (n *Node) replyAppend(to string, reply Message) {
 	n.maybeEndRecovery()
 	reply.Learner = n.recovery.active
-	reply.Departure = n.departure
+	reply.LeaveID = n.leaveID
 	n.send(to, reply)
 }
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -17,7 +17,7 @@
 	snapshotSentAt  uint64 // tick at which a snapshot was sent; 0 for none
 	readRound       uint64 // latest read round that the peer acknowledged
 	joinRequestedAt uint64 // tick of a learner's latest request to join
-	departure       uint64 // number of the peer's request to leave, or 0
+	leaveID         uint64 // number of the peer's request to leave, or 0
 }
 
 // sendAppend sends a peer a snapshot, the entries that it lacks, or a heartbeat.
@@ -72,8 +72,8 @@
 		Kind: KindAppend, Term: n.hardState.Term, Index: before, LogTerm: n.log.termAt(before),
 		Entries: slices.Clone(entries), Commit: n.log.commit, SentTick: n.now, ReadRound: n.readRound,
 	}
-	if departure := n.progress[id].departure; departure != 0 && n.mayDepart(id) {
-		m.Departure = departure
+	if leaveID := n.progress[id].leaveID; leaveID != 0 && n.mayLeave(id) {
+		m.LeaveID = leaveID
 	}
 	n.send(id, m)
 }
@@ -98,7 +98,7 @@
 	if p == nil {
 		return // no longer a voter or learner
 	}
-	p.recordDeparture(m)
+	p.recordLeave(m)
 	p.ackedAt = max(p.ackedAt, m.SentTick)
 	p.readRound = max(p.readRound, m.ReadRound)
 	p.learner = m.Learner
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -144,10 +144,10 @@
 	messages        []Message
 	pendingSnapshot *Snapshot
 	applied         uint64 // highest index returned by TakeOutput as committed
-	departure       uint64 // number of this replica's request to leave, or 0
-	// departureGranted is set once a leader has granted the request.
-	departureGranted bool
-	transferredAt    uint64 // tick of the leader's latest transfer request
+	leaveID         uint64 // number of this replica's request to leave, or 0
+	// leaveGranted is set once a leader has granted the request.
+	leaveGranted  bool
+	transferredAt uint64 // tick of the leader's latest transfer request
 }
 
 // New returns a node that continues from its persistent state.
--- a/io/plane/leave.go
+++ b/io/plane/leave.go
@@ -15,14 +15,14 @@
 func (r *Replica) Leave(ctx context.Context) error {
 	start := r.now()
 	request := rand.Uint64() | 1 // not 0
-	if !r.runOnLoop(ctx, func() { r.node.RequestDeparture(request) }) {
+	if !r.runOnLoop(ctx, func() { r.node.RequestLeave(request) }) {
 		return ErrNoQuorum
 	}
 	poll := time.NewTicker(tickInterval)
 	defer poll.Stop()
 	for {
 		granted, voter := false, false
-		if !r.runOnLoop(ctx, func() { granted, voter = r.node.DepartureGranted(), r.node.IsVoter(r.id) }) {
+		if !r.runOnLoop(ctx, func() { granted, voter = r.node.LeaveGranted(), r.node.IsVoter(r.id) }) {
 			return ErrNoQuorum
 		}
 		if granted {
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -66,7 +66,7 @@
 	}
 	r.registry.updateContact()
 	voter := r.node.IsVoter(r.id)
-	if (!voter || !contact) && !r.node.Departing() && now-r.joinSentAt >= joinInterval {
+	if (!voter || !contact) && !r.node.Leaving() && now-r.joinSentAt >= joinInterval {
 		r.joinSentAt = now
 		r.mesh.broadcast(proto.ToPlane{Join: r.id})
 	}
