--- a/core/quorum/leave_test.go
+++ b/core/quorum/leave_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// turnoverCatchUpTicks is how long a machine counts as lost after it has started:
+	// turnoverCatchUpTicks is how long a replica counts as lost after it has started:
 	// twice the default voter timeout.
 	turnoverCatchUpTicks = 120
 	// leaveGraceTicks is how long a replica that stops may wait for the grant.
@@ -21,7 +21,7 @@
 	replacementTicks = 20
 )
 
-// turnover plays losses and replacements of machines of which at most tolerance at a
+// turnover plays losses and replacements of replicas, of which at most tolerance at a
 // time count as lost.
 type turnover struct {
 	*dynamicCluster
