--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -98,13 +98,13 @@
 	n.expireLearners(limits)
 	size := len(n.log.voters)
 	replaced, removable, caughtUp := n.replacedVoter(), n.removableVoter(limits), n.caughtUpLearner()
+	mayGrow := size < limits.MaxVoters && (size%2 == 0 || !n.hasSilentVoter())
 	switch {
 	case replaced != "" && size >= limits.MinVoters:
 		n.removeVoter(replaced)
 	case removable != "" && size > limits.MinVoters:
 		n.removeVoter(removable)
-	case caughtUp == "" || removable == "" && (size >= limits.MaxVoters || size%2 == 1 && n.hasSilentVoter()):
-	default:
+	case caughtUp != "" && (mayGrow || removable != ""):
 		n.appendEntry(Entry{Voters: append(slices.Clone(n.log.voters), caughtUp)})
 	}
 }
