Close replicas before their data directories are removed in tests

Cause: the test. The cluster registered one cleanup that closed all replicas, before the data directories of replicas that were added later. Cleanups run in reverse, so a running replica lost its directory, and a checkpoint that it wrote meanwhile left the directory not empty.

Ruled out: a write after Replica.Close, which waits for the event loop and the disk writer.

Change: each replica is closed by a cleanup of its own, registered after its directory.

No check has changed.

--- a/io/plane/plane_test.go
+++ b/io/plane/plane_test.go
@@ -59,11 +59,6 @@
 	for _, a := range s.seeds {
 		s.start(a, true)
 	}
-	DeferCleanup(func() {
-		for _, r := range s.replicas {
-			r.Close()
-		}
-	})
 	for _, r := range s.replicas {
 		// A replica refuses announcements until it has heard from a leader.
 		Eventually(r.InContact, timeout).Should(BeTrue())
@@ -88,6 +83,7 @@
 		VoterTimeout: time.Second, ServerTimeout: s.serverTimeout, Log: logs.Discard(),
 	})
 	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close) // before the removal of its data directory
 	s.replicas[a] = r
 	return r
 }
