Repeat failed writes to disk in replicas of a fixed set

Reported by operators of similar systems: the disks of several machines were full for a few seconds each, one after another, and changes stayed refused long after.

What callers would see: with a fixed set of control replicas, changes are refused after the second full disk, and stay refused until an operator starts the replicas again.

Cause: a replica of io/ctrl ended at the first write that failed.

Ruled out: damage to the log. The store repeats a failed write safely and cuts off a torn one.

Change: the loop that repeats writes moves from io/plane to io/store (Retrier), and io/ctrl uses it. While it waits, the replica refuses calls with 503, where some answered 200 with an empty list when it had stopped, and closes the links of entry instances, whose leases it cannot renew. controlDiskFailed is left for stored state that cannot be decoded.

--- a/io/ctrl/api.go
+++ b/io/ctrl/api.go
@@ -132,13 +132,26 @@
 
 func writeUnconfirmed(w http.ResponseWriter, err error) {
 	status, title := http.StatusGatewayTimeout, "notConfirmed"
-	if errors.Is(err, ErrNoQuorum) {
+	switch {
+	case errors.Is(err, ErrNoQuorum):
 		status, title = http.StatusServiceUnavailable, "noQuorum"
+	case errors.Is(err, ErrUnavailable):
+		status, title = http.StatusServiceUnavailable, "unavailable"
 	}
 	writeProblem(w, Problem{Title: title, Status: status,
 		Detail: err.Error() + "; send it again with the same " + HeaderRequestID})
 }
 
+// readState runs f on the event loop for an API call. It reports false after it has
+// refused the call because the event loop has stopped or waits for the disk.
+func (r *Replica) readState(w http.ResponseWriter, f func()) bool {
+	if r.callOnLoop(f) {
+		return true
+	}
+	writeUnconfirmed(w, ErrUnavailable)
+	return false
+}
+
 // submit proposes a command for an API call and writes the outcome.
 func (r *Replica) submit(w http.ResponseWriter, req *http.Request, c model.Command) {
 	c.Actor = req.Header.Get(HeaderActor)
@@ -232,12 +245,14 @@
 func (r *Replica) listServices(w http.ResponseWriter, req *http.Request) {
 	zoneConditions := r.zoneConditions(req.Context())
 	var list List[ServiceView]
-	r.callOnLoop(func() {
+	if !r.readState(w, func() {
 		list.ResourceVersion = r.state.Index()
 		for _, svc := range r.state.Services() {
 			list.Items = append(list.Items, newServiceView(svc, zoneConditions))
 		}
-	})
+	}) {
+		return
+	}
 	writeJSON(w, http.StatusOK, list.ResourceVersion, list)
 }
 
@@ -246,10 +261,12 @@
 	var svc model.Service
 	var found bool
 	var version uint64
-	r.callOnLoop(func() {
+	if !r.readState(w, func() {
 		svc, found = r.state.Service(req.PathValue("name"))
 		version = r.state.Index()
-	})
+	}) {
+		return
+	}
 	if !found {
 		writeCommandError(w, &model.CommandError{Reason: model.ReasonNotFound,
 			Message: "service/" + req.PathValue("name") + " does not exist"})
@@ -287,13 +304,17 @@
 
 func (r *Replica) listServers(w http.ResponseWriter, _ *http.Request) {
 	var list List[model.BackendServer]
-	r.callOnLoop(func() { list.Items, list.ResourceVersion = r.state.Servers(), r.state.Index() })
+	if !r.readState(w, func() { list.Items, list.ResourceVersion = r.state.Servers(), r.state.Index() }) {
+		return
+	}
 	writeJSON(w, http.StatusOK, list.ResourceVersion, list)
 }
 
 func (r *Replica) listInstances(w http.ResponseWriter, _ *http.Request) {
 	var list List[model.Instance]
-	r.callOnLoop(func() { list.Items, list.ResourceVersion = r.state.Instances(), r.state.Index() })
+	if !r.readState(w, func() { list.Items, list.ResourceVersion = r.state.Instances(), r.state.Index() }) {
+		return
+	}
 	writeJSON(w, http.StatusOK, list.ResourceVersion, list)
 }
 
@@ -323,7 +344,9 @@
 		return
 	}
 	var list List[model.Audit]
-	r.callOnLoop(func() { list.Items, list.ResourceVersion = r.state.Audit(from), r.state.Index() })
+	if !r.readState(w, func() { list.Items, list.ResourceVersion = r.state.Audit(from), r.state.Index() }) {
+		return
+	}
 	writeJSON(w, http.StatusOK, list.ResourceVersion, list)
 }
 
--- /dev/null
+++ b/io/ctrl/disk_test.go
@@ -0,0 +1,120 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragepost/io/client"
+	"boragepost/io/ctrl"
+	"boragepost/io/demo"
+	"boragepost/io/logs"
+)
+
+// fullTime is how long a disk is full: longer than an election.
+const fullTime = 1500 * time.Millisecond
+
+// diskCluster is three replicas whose disks can be full.
+type diskCluster struct {
+	topology *demo.Topology
+	replicas map[string]*ctrl.Replica
+	full     map[string]*atomic.Bool
+	next     int // number of the next change
+}
+
+func newDiskCluster(ctx context.Context) *diskCluster {
+	topology, err := demo.NewTopology(GinkgoT().TempDir(), 1)
+	Expect(err).NotTo(HaveOccurred())
+	s := &diskCluster{topology: topology, replicas: map[string]*ctrl.Replica{}, full: map[string]*atomic.Bool{}}
+	for _, settings := range topology.Controls {
+		settings.SnapshotEvery = 10
+		full := &atomic.Bool{}
+		r, err := ctrl.Start(ctx, ctrl.Config{Settings: settings, Log: logs.Discard(), BeforeWrite: func() error {
+			if full.Load() {
+				return syscall.ENOSPC
+			}
+			return nil
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		s.replicas[settings.Name], s.full[settings.Name] = r, full
+	}
+	_, err = s.client(20, topology.ControlEndpoints()...).PutService(ctx, topology.Services[0], 0)
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+func (s *diskCluster) client(attempts int, endpoints ...string) *client.Client {
+	return &client.Client{Endpoints: endpoints, Actor: "test", Attempts: attempts}
+}
+
+// change sends a change that names itself through a client.
+func (s *diskCluster) change(ctx context.Context, c *client.Client) error {
+	svc := s.topology.Services[0]
+	s.next++
+	svc.LongRoutes = []string{fmt.Sprint("/long-", s.next)}
+	_, err := c.PutService(ctx, svc, client.AnyVersion)
+	return err
+}
+
+// fill fills the disk of a replica for fullTime. Changes sent to all are accepted
+// meanwhile, and the replica refuses calls at once.
+func (s *diskCluster) fill(ctx context.Context, name string) {
+	GinkgoHelper()
+	s.full[name].Store(true)
+	defer s.full[name].Store(false)
+	everyone := s.client(20, s.topology.ControlEndpoints()...)
+	alone := s.client(1, s.endpoint(name))
+	refused := false
+	for start := time.Now(); time.Since(start) < fullTime; time.Sleep(100 * time.Millisecond) {
+		Expect(s.change(ctx, everyone)).To(Succeed())
+		_, err := alone.Services(ctx)
+		refused = refused || err != nil
+	}
+	Expect(refused).To(BeTrue(), "calls of a replica that cannot write")
+}
+
+func (s *diskCluster) endpoint(name string) string {
+	for _, settings := range s.topology.Controls {
+		if settings.Name == name {
+			return settings.Listen.String()
+		}
+	}
+	return ""
+}
+
+// expectAllAccept checks that each replica runs, accepts a change and shows it.
+func (s *diskCluster) expectAllAccept(ctx context.Context) {
+	GinkgoHelper()
+	for name, r := range s.replicas {
+		Expect(r.Done()).NotTo(BeClosed(), name)
+		one := s.client(1, s.endpoint(name))
+		Eventually(func() error { return s.change(ctx, one) }, "5s").Should(Succeed(), name)
+		Eventually(func() []string {
+			view, err := one.Service(ctx, s.topology.Services[0].Name)
+			Expect(err).NotTo(HaveOccurred())
+			return view.LongRoutes
+		}, "5s").Should(Equal([]string{fmt.Sprint("/long-", s.next)}), name)
+	}
+}
+
+// A replica used to stop for good when its disk was full for a moment, so that three
+// full disks, one after another, left no replica.
+var _ = Describe("disks that are full one after another", func() {
+	It("leave replicas that run and accept changes", func() {
+		ctx := context.Background()
+		s := newDiskCluster(ctx)
+		for name := range s.replicas {
+			s.fill(ctx, name)
+		}
+		status, err := s.client(20, s.topology.ControlEndpoints()...).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		s.fill(ctx, status.Leader)
+		s.expectAllAccept(ctx)
+	})
+})
--- a/io/ctrl/feed.go
+++ b/io/ctrl/feed.go
@@ -59,8 +59,12 @@
 // entryConn is the link to an entry instance.
 type entryConn = links.Conn[proto.ToEntry, proto.ToControl]
 
-// serveEntry handles the link of an entry instance.
+// serveEntry handles the link of an entry instance. While the disk cannot be written, the
+// link is closed, so that the instance turns to another replica.
 func (r *Replica) serveEntry(c *entryConn) {
+	if r.retrier.Failing() {
+		return
+	}
 	defer r.post(func() { delete(r.feed.conns, c) })
 	for m := range c.Messages() {
 		if !r.post(func() { r.handleEntry(c, m) }) {
--- a/io/ctrl/forward.go
+++ b/io/ctrl/forward.go
@@ -13,7 +13,8 @@
 )
 
 // Submit proposes a command through the leader, whichever replica that is, and
-// waits for the result. It returns ErrNoQuorum or ErrTimeout if there is none.
+// waits for the result. It returns ErrNoQuorum, ErrTimeout or ErrUnavailable if there is
+// none.
 func (r *Replica) Submit(ctx context.Context, c model.Command) (model.Result, error) {
 	reply, err := r.callLeader(ctx, proto.Forward{Command: &c})
 	if err != nil {
@@ -27,6 +28,9 @@
 
 // callLeader sends a request to the leader and waits for the reply.
 func (r *Replica) callLeader(ctx context.Context, f proto.Forward) (proto.Reply, error) {
+	if r.retrier.Failing() {
+		return proto.Reply{}, ErrUnavailable
+	}
 	replies := make(chan proto.Reply, 1)
 	if !r.post(func() { r.sendToLeader(f, func(reply proto.Reply) { replies <- reply }) }) {
 		return proto.Reply{}, ErrNoQuorum
--- a/io/ctrl/metrics.go
+++ b/io/ctrl/metrics.go
@@ -35,6 +35,14 @@
 		return 0
 	})
 	gauge("entry_links", "Linked entry instances.", func() float64 { return float64(len(r.feed.conns)) })
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "boragepost", Subsystem: "control", Name: "disk_failing", Help: "1 while the log cannot be written."},
+		func() float64 {
+			if r.retrier.Failing() {
+				return 1
+			}
+			return 0
+		}))
 	gauge("link_sent_bytes", "Payload bytes sent on links.", func() float64 { return float64(r.meter.Sent.Load()) })
 	gauge("link_received_bytes", "Payload bytes received on links.", func() float64 {
 		return float64(r.meter.Received.Load())
--- a/io/ctrl/replica.go
+++ b/io/ctrl/replica.go
@@ -45,11 +45,13 @@
 	taskQueueSize        = 4096
 )
 
-// The errors of Submit. After either of them the command may still take effect.
+// The errors of Submit. After each of them the command may still take effect.
 // Submitting it again with the same request identifier is safe.
 var (
 	ErrNoQuorum = errors.New("no leader with a quorum is reachable")
 	ErrTimeout  = errors.New("the command was not confirmed in time")
+	// ErrUnavailable means that this replica is stopping or cannot write to its disk.
+	ErrUnavailable = errors.New("this replica is stopping or cannot write to its disk")
 )
 
 // Config configures a replica.
@@ -59,6 +61,9 @@
 	// Now returns the Unix time in milliseconds. If nil, the system clock is read
 	// once and advanced by the monotonic clock.
 	Now func() int64
+	// BeforeWrite, if set, is called before each write to disk, which fails with its
+	// error. Tests inject full disks with it.
+	BeforeWrite func() error
 }
 
 // Replica is a running control replica.
@@ -67,6 +72,7 @@
 	log              *logrus.Entry
 	node             *quorum.Node
 	store            *store.Store
+	retrier          store.Retrier
 	state            *state.State
 	reconciler       *leader.Reconciler
 	tasks            chan func()
@@ -100,6 +106,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data directory %s: %w", cfg.Settings.Data, err)
 	}
+	st.BeforeWrite = cfg.BeforeWrite
 	r, err := newReplica(cfg, st, saved)
 	if err != nil {
 		st.Close()
@@ -149,6 +156,8 @@
 		r.state = restored
 	}
 	r.feed = newFeed(r.state.Index())
+	// Entry instances turn to another replica.
+	r.retrier = store.Retrier{Log: r.log, OnFailed: func() { r.feed.closeAll() }}
 	var names []string
 	for name := range cfg.Settings.Replicas {
 		names = append(names, name)
@@ -169,7 +178,7 @@
 }
 
 // Done returns a channel that is closed when the replica has stopped. A replica
-// also stops on its own after an unrecoverable error, such as a disk failure.
+// also stops on its own when its stored state cannot be decoded.
 func (r *Replica) Done() <-chan struct{} { return r.stopped }
 
 // post schedules f on the event loop. It returns false if the replica has
@@ -184,8 +193,11 @@
 }
 
 // callOnLoop runs f on the event loop and waits until it returns. It returns
-// false if the replica has stopped.
+// false if the replica has stopped, or if the event loop waits for the disk.
 func (r *Replica) callOnLoop(f func()) bool {
+	if r.retrier.Failing() {
+		return false
+	}
 	done := make(chan struct{})
 	if !r.post(func() { f(); close(done) }) {
 		return false
@@ -217,7 +229,10 @@
 			r.advanceClock()
 			r.reconcile()
 		}
-		if err := r.processOutput(); err != nil {
+		if err := r.processOutput(ctx); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
 			r.fatalErr = err
 			r.log.WithError(err).Error("controlDiskFailed")
 			r.cancel()
@@ -271,11 +286,12 @@
 
 func (r *Replica) now() time.Duration { return time.Since(r.start) }
 
-// processOutput processes the state machine's output until there is none left.
-func (r *Replica) processOutput() error {
+// processOutput processes the state machine's output until there is none left. While the
+// disk cannot be written it waits, so that a failing leader is replaced by an election.
+func (r *Replica) processOutput(ctx context.Context) error {
 	for {
 		out := r.node.TakeOutput()
-		if err := r.persist(out); err != nil {
+		if err := r.persist(ctx, out); err != nil {
 			return err
 		}
 		for _, m := range out.Messages {
@@ -284,18 +300,24 @@
 		if len(out.Committed) == 0 && out.Snapshot == nil {
 			return nil
 		}
-		if err := r.apply(out.Committed); err != nil {
+		if err := r.apply(ctx, out.Committed); err != nil {
 			return err
 		}
 	}
 }
 
-func (r *Replica) persist(out quorum.Output) error {
-	if out.Snapshot == nil {
-		return r.store.Save(out.HardState, out.Append)
+func (r *Replica) persist(ctx context.Context, out quorum.Output) error {
+	saved := r.retrier.Write(ctx, func() error {
+		if out.Snapshot == nil {
+			return r.store.Save(out.HardState, out.Append)
+		}
+		return r.store.SaveSnapshot(*out.Snapshot, r.node.HardState(), r.node.Tail())
+	})
+	if !saved {
+		return ctx.Err()
 	}
-	if err := r.store.SaveSnapshot(*out.Snapshot, r.node.HardState(), r.node.Tail()); err != nil {
-		return fmt.Errorf("install snapshot: %w", err)
+	if out.Snapshot == nil {
+		return nil
 	}
 	restored, err := state.Restore(out.Snapshot.Data)
 	if err != nil {
@@ -308,7 +330,7 @@
 	return nil
 }
 
-func (r *Replica) apply(entries []quorum.Entry) error {
+func (r *Replica) apply(ctx context.Context, entries []quorum.Entry) error {
 	for _, e := range entries {
 		var c model.Command
 		if len(e.Data) > 0 {
@@ -330,7 +352,7 @@
 		close(r.applied)
 		r.applied = make(chan struct{})
 	}
-	return r.snapshotIfDue()
+	return r.snapshotIfDue(ctx)
 }
 
 func (r *Replica) resolveProposal(e quorum.Entry, result model.Result) {
@@ -346,7 +368,7 @@
 	proposal.done(&result)
 }
 
-func (r *Replica) snapshotIfDue() error {
+func (r *Replica) snapshotIfDue(ctx context.Context) error {
 	if len(r.node.Tail()) < r.cfg.Settings.SnapshotEvery {
 		return nil
 	}
@@ -355,8 +377,8 @@
 		return err
 	}
 	snap := r.node.Compact(r.state.Index(), data)
-	if err := r.store.SaveSnapshot(snap, r.node.HardState(), r.node.Tail()); err != nil {
-		return fmt.Errorf("save snapshot: %w", err)
+	if !r.retrier.Write(ctx, func() error { return r.store.SaveSnapshot(snap, r.node.HardState(), r.node.Tail()) }) {
+		return ctx.Err()
 	}
 	r.log.WithField("index", snap.Index).Info("snapshotSaved")
 	return nil
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -9,7 +9,6 @@
 	"boragepost/core/config"
 	"boragepost/core/quorum"
 	"boragepost/io/proto"
-	"boragepost/io/timer"
 )
 
 func (r *Replica) run() {
@@ -113,25 +112,11 @@
 // when the replica stops.
 func (r *Replica) retryWrite(write func() error) bool {
 	start := r.now()
-	for {
-		err := write()
-		if err == nil {
-			r.counters.syncSeconds.Observe((r.now() - start).Seconds())
-			if r.diskFailing {
-				r.diskFailing = false
-				r.log.Info("diskRegained")
-			}
-			return true
-		}
-		if !r.diskFailing {
-			r.diskFailing = true
-			r.log.WithError(err).Error("diskFailed")
-		}
-		timer.Sleep(r.ctx, diskRetryInterval)
-		if r.ctx.Err() != nil {
-			return false
-		}
+	if !r.retrier.Write(r.ctx, write) {
+		return false
 	}
+	r.counters.syncSeconds.Observe((r.now() - start).Seconds())
+	return true
 }
 
 // apply applies a snapshot and committed entries to the configuration.
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -59,8 +59,6 @@
 	// joinInterval is how often a replica that is not a voter, or has no contact with
 	// a leader, asks to join.
 	joinInterval = 500 * time.Millisecond
-	// diskRetryInterval is the delay before a failed write is retried.
-	diskRetryInterval = 200 * time.Millisecond
 	// contactTimeout is how long the event loop may go without recording contact with
 	// a leader before InContact reports false: twice the shortest election timeout.
 	contactTimeout = 2 * electionTicks * tickInterval
@@ -117,6 +115,7 @@
 	id              string
 	node            *quorum.Node
 	store           *store.Store
+	retrier         store.Retrier
 	state           config.State // used by the event loop only
 	current         atomic.Pointer[config.Configuration]
 	registry        registry
@@ -141,7 +140,6 @@
 	diskWriterDone  sync.WaitGroup
 	start           time.Duration
 	ticks           uint64
-	diskFailing     bool // the latest disk write failed
 	// loggedLeader and loggedTerm are the leader and the term that were logged last.
 	loggedLeader string
 	loggedTerm   uint64
@@ -190,6 +188,7 @@
 		stopped: make(chan struct{}), start: timer.SinceBoot(), readID: proto.FirstID(),
 	}
 	r.log = cfg.Log.WithField("replica", r.id)
+	r.retrier.Log = r.log
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if saved.Snapshot.Index > 0 {
 		if err := cbor.Unmarshal(saved.Snapshot.Data, &r.state); err != nil {
