Refuse a late deregistration that a paused replica cannot attribute

What callers would see: a backend server that has started again under its identifier and is leaving has its open flows reset while it still serves them.

Cause: the call without a body is attributed by the time at which its connection was accepted. A paused replica accepts the connections of the pause when it resumes, so a call of the earlier start seems to come after the later one, if the record of that one is received first.

Ruled out: measuring the pause. It needs a clock that runs beside the accepting goroutine and is read in the right order; the times at which both became known are at hand.

A start that leaves has announced that for longer, so only a replica that has just started or resumed refuses its call.

--- a/core/roster/deregister.go
+++ b/core/roster/deregister.go
@@ -20,6 +20,14 @@
 // has not announced that it leaves, as each does before it deregisters.
 var ErrNotLeaving = errors.New("the deregistration names no start, and the registered one is not leaving")
 
+// ErrStartRecent means that a deregistration names no start, and that it cannot be told
+// whether its connection is from before the recorded one.
+var ErrStartRecent = errors.New("the deregistration names no start, and the registered one has only just become known")
+
+// resumeTime is how long a replica that was paused takes to receive the records and to
+// accept the connections that have arrived meanwhile, in whatever order.
+const resumeTime = time.Second
+
 // Deregister returns the record of the start that a deregistration ends, in phase Gone.
 // It reports false when there is none: the backend server is unknown, or has started
 // again since. It changes nothing.
@@ -34,6 +42,8 @@
 		return Server{}, false, nil
 	case e.server.Phase == Ready:
 		return Server{}, false, ErrNotLeaving
+	case e.server.Phase != Gone && d.ConnectedAt-e.startSeenAt < resumeTime:
+		return Server{}, false, ErrStartRecent
 	default:
 		return e.server.WithPhase(Gone), true, nil
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -80,13 +80,13 @@
 	})
 
 	It("ends no start that registered after the connection of the deregistration was opened", func() {
-		r.RecordAnnouncement(10, server(1, 5, 1))
-		r.RecordAnnouncement(20, server(1, 6, 1).WithPhase(roster.Draining))
-		r.RecordAnnouncement(40, server(1, 6, 2).WithPhase(roster.Draining))
-		_, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 15})
+		r.RecordAnnouncement(10*time.Second, server(1, 5, 1))
+		r.RecordAnnouncement(20*time.Second, server(1, 6, 1).WithPhase(roster.Draining))
+		r.RecordAnnouncement(40*time.Second, server(1, 6, 2).WithPhase(roster.Draining))
+		_, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 15 * time.Second})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found).To(BeFalse())
-		ended, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 30})
+		ended, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 30 * time.Second})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found).To(BeTrue())
 		Expect(ended).To(Equal(server(1, 6, 2).WithPhase(roster.Gone)))
@@ -98,6 +98,18 @@
 		Expect(err).To(MatchError(roster.ErrNotLeaving))
 	})
 
+	// A replica that was paused receives the record of a later start and accepts the
+	// connections of the pause in any order when it resumes.
+	It("rejects a deregistration that names no start when the start has only just become known", func() {
+		r.RecordAnnouncement(10*time.Second, server(1, 6, 1).WithPhase(roster.Draining))
+		_, found, err := r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 10500 * time.Millisecond})
+		Expect(err).To(MatchError(roster.ErrStartRecent))
+		Expect(found).To(BeFalse())
+		r.RecordAnnouncement(11*time.Second, server(1, 6, 2).WithPhase(roster.Gone))
+		_, _, err = r.Deregister(roster.Deregistration{ID: 1, ConnectedAt: 10500 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred(), "repeated after the start has ended")
+	})
+
 	It("gives an address to the newest incarnation there, in either order", func() {
 		old, next := server(1, 5, 1), server(2, 6, 1)
 		next.Address = old.Address
--- a/io/plane/registry.go
+++ b/io/plane/registry.go
@@ -126,8 +126,8 @@
 }
 
 // Deregister records that a backend server is gone. A call for an unknown backend
-// server or an earlier start succeeds without effect. It returns roster.ErrNotLeaving
-// when it cannot tell which start the call means.
+// server or an earlier start succeeds without effect. It returns roster.ErrNotLeaving or
+// roster.ErrStartRecent when it cannot tell which start the call means.
 func (r *Replica) Deregister(ctx context.Context, d roster.Deregistration) error {
 	g := &r.registry
 	g.mu.Lock()
