Replace a lost voter by its successor in one change

What callers would see: a control replica ends without notice, its successor is lost as well, and no configuration is acknowledged or read any more, also after a restart of all.

Cause: with 2f+1 voters the set grew by the successor before the lost voter was removed. The larger set needs one more vote. If the successor was lost before it had acknowledged the change, only two of four voters were left, and a change that is not committed bars the next one. The histories of TestLostSuccessorKeepsTheQuorum deliver all messages of a tick and never ended a replica between them.

Ruled out: removing the lost voter first. In a set of two, the loss of one disk ends the set while the voter that is only silent is out.

Change: an odd set that cannot shrink replaces the voter by the learner in one entry that holds the former set as well (Entry.Outgoing). Elections, commits and reads need a quorum of both until it is committed; then the next entry ends the former set. Any f of the others may be lost meanwhile, and neither the lost voter nor its successor is needed.

--- a/core/quorum/history_test.go
+++ b/core/quorum/history_test.go
@@ -89,7 +89,8 @@
 
 func (c *cluster) recordCommit(r *replica, e quorum.Entry) {
 	earlier, exists := c.committed[e.Index]
-	if exists && (earlier.Term != e.Term || string(earlier.Data) != string(e.Data) || !slices.Equal(earlier.Voters, e.Voters)) {
+	if exists && (earlier.Term != e.Term || string(earlier.Data) != string(e.Data) ||
+		!slices.Equal(earlier.Voters, e.Voters) || !slices.Equal(earlier.Outgoing, e.Outgoing)) {
 		c.t.Fatalf("%s commits %d@%d %q, but %d@%d %q was committed there", r.id,
 			e.Index, e.Term, e.Data, earlier.Index, earlier.Term, earlier.Data)
 	}
--- a/core/quorum/leave.go
+++ b/core/quorum/leave.go
@@ -28,10 +28,10 @@
 	if !n.cfg.DynamicMembership {
 		return true
 	}
-	if n.log.termAt(n.log.commit) != n.hardState.Term || n.log.lastMembershipChange() > n.log.commit {
+	if n.log.termAt(n.log.commit) != n.hardState.Term || n.log.lastMembershipChange() > n.log.commit || n.log.voters.replacing() {
 		return false
 	}
-	return !n.IsVoter(id) || len(n.log.voters) <= n.membershipLimits().MinVoters && !n.hasSuccessor()
+	return !n.IsVoter(id) || len(n.log.voters.current) <= n.membershipLimits().MinVoters && !n.hasSuccessor()
 }
 
 // hasSuccessor reports whether a learner responds that may replace a voter.
@@ -62,7 +62,7 @@
 // transferTarget returns a voter that can take over at once: it responds, stays, and
 // holds the whole log. It returns "" if there is none.
 func (n *Node) transferTarget() string {
-	for _, id := range n.log.voters {
+	for _, id := range n.log.voters.current {
 		p := n.progress[id]
 		if id != n.cfg.ID && p.leaveID == 0 && n.isResponsive(p) && p.match == n.log.last() {
 			return id
--- a/core/quorum/leave_test.go
+++ b/core/quorum/leave_test.go
@@ -290,3 +290,35 @@
 		}
 	})
 }
+
+// advanceMessages plays ticks and single messages, so that a replica may end between any
+// two messages of a change of the voters.
+func (d *turnover) advanceMessages(steps int) {
+	for range steps {
+		if len(d.messages) > 0 {
+			d.deliver(0)
+			continue
+		}
+		if d.now-d.lastJoinAt > 10 {
+			d.lastJoinAt = d.now
+			d.join()
+		}
+		d.tick()
+	}
+}
+
+// TestSuccessorLostDuringChangeKeepsTheQuorum guards against a change of the voters that
+// can no longer be committed when the successor is lost before it has acknowledged it.
+func TestSuccessorLostDuringChangeKeepsTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newTurnover(t)
+		for _, lost := range d.pickLost() {
+			d.end(lost)
+		}
+		d.advance(replacementTicks)
+		s := d.startSuccessor()
+		d.advanceMessages(rapid.IntRange(0, 600).Draw(t, "steps"))
+		d.replaceLost(maxDownTicks, s)
+		d.expectCommit("successor lost during a change")
+	})
+}
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -9,7 +9,7 @@
 	unsaved       uint64 // lowest index not yet returned by takeUnsaved; 0 for none
 	dynamic       bool   // entries may replace the voters
 	initialVoters []string
-	voters        []string // current voters, committed or not: those of the last entry with Voters
+	voters        voterSets // committed or not: those of the last entry with Voters
 }
 
 func newLog(saved PersistentState, cfg Config) raftLog {
@@ -24,19 +24,19 @@
 }
 
 // votersAt returns the voters as of an index that the log holds.
-func (l *raftLog) votersAt(index uint64) []string {
+func (l *raftLog) votersAt(index uint64) voterSets {
 	if !l.dynamic {
-		return l.initialVoters
+		return voterSets{current: l.initialVoters}
 	}
 	for i := index; i > l.snapshot.Index; i-- {
-		if voters := l.entries[i-l.snapshot.Index-1].Voters; len(voters) > 0 {
-			return voters
+		if e := l.entries[i-l.snapshot.Index-1]; len(e.Voters) > 0 {
+			return voterSets{current: e.Voters, outgoing: e.Outgoing}
 		}
 	}
 	if len(l.snapshot.Voters) > 0 {
-		return l.snapshot.Voters
+		return voterSets{current: l.snapshot.Voters, outgoing: l.snapshot.Outgoing}
 	}
-	return l.initialVoters
+	return voterSets{current: l.initialVoters}
 }
 
 // lastMembershipChange returns the index of the last entry that changes the
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -84,8 +84,9 @@
 // A voter whose disk is known to be lost is removed first: it can never vote
 // again, so the smaller set needs no more of the other voters than the larger one
 // did. Then a voter that leaves or is unresponsive is removed, if the set is larger
-// than MinVoters. Otherwise a caught-up learner is added. At MaxVoters that takes a
-// voter to remove afterwards.
+// than MinVoters. In an odd set that cannot shrink it is replaced by a caught-up
+// learner in one change: a set with both would need the vote of the learner, which may
+// be lost as well. Otherwise a caught-up learner is added.
 //
 // While a voter of an odd set is silent but not yet removable, no learner is added:
 // the larger set would need one more vote, and not tolerate more losses.
@@ -94,9 +95,13 @@
 	if !n.cfg.DynamicMembership || !mayChange {
 		return
 	}
+	if n.log.voters.replacing() {
+		n.endReplacement()
+		return
+	}
 	limits := n.membershipLimits()
 	n.expireLearners(limits)
-	size := len(n.log.voters)
+	size := len(n.log.voters.current)
 	replaced, removable, caughtUp := n.replacedVoter(), n.removableVoter(limits), n.caughtUpLearner()
 	mayGrow := size < limits.MaxVoters && (size%2 == 0 || !n.hasSilentVoter())
 	switch {
@@ -104,9 +109,24 @@
 		n.removeVoter(replaced)
 	case removable != "" && size > limits.MinVoters:
 		n.removeVoter(removable)
-	case caughtUp != "" && (mayGrow || removable != ""):
-		n.appendEntry(Entry{Voters: append(slices.Clone(n.log.voters), caughtUp)})
+	case caughtUp != "" && removable != "" && size%2 == 1:
+		voters := n.log.voters.current
+		n.appendEntry(Entry{Voters: replace(voters, removable, caughtUp), Outgoing: voters})
+	case caughtUp != "" && mayGrow:
+		n.appendEntry(Entry{Voters: append(slices.Clone(n.log.voters.current), caughtUp)})
+	}
+}
+
+// endReplacement ends a committed replacement: from the next entry on the outgoing set
+// no longer decides.
+func (n *Node) endReplacement() {
+	next := n.log.voters.current
+	for _, id := range n.log.voters.outgoing {
+		if !slices.Contains(next, id) && n.progress[id].leaveID == 0 {
+			delete(n.progress, id)
+		}
 	}
+	n.appendEntry(Entry{Voters: slices.Clone(next)})
 }
 
 func (n *Node) membershipLimits() MembershipLimits { return n.cfg.MembershipLimits.withDefaults() }
@@ -117,7 +137,7 @@
 	if n.progress[removed].leaveID == 0 {
 		delete(n.progress, removed)
 	}
-	n.appendEntry(Entry{Voters: slices.DeleteFunc(slices.Clone(n.log.voters), func(id string) bool { return id == removed })})
+	n.appendEntry(Entry{Voters: slices.DeleteFunc(slices.Clone(n.log.voters.current), func(id string) bool { return id == removed })})
 }
 
 // caughtUpLearner returns a learner whose log holds all committed entries, or "".
@@ -133,7 +153,7 @@
 // replacedVoter returns a voter at whose address a replica with another
 // identifier responds, which means that its disk is lost, or "".
 func (n *Node) replacedVoter() string {
-	for _, id := range n.log.voters {
+	for _, id := range n.log.voters.current {
 		if id == n.cfg.ID || n.isResponsive(n.progress[id]) {
 			continue
 		}
@@ -154,7 +174,7 @@
 		return ""
 	}
 	longest := ""
-	for _, id := range n.log.voters {
+	for _, id := range n.log.voters.current {
 		if id != n.cfg.ID && n.progress[id].leaveID != 0 {
 			return id
 		}
@@ -170,7 +190,7 @@
 
 // hasSilentVoter reports whether a voter is unresponsive.
 func (n *Node) hasSilentVoter() bool {
-	return slices.ContainsFunc(n.log.voters, func(id string) bool {
+	return slices.ContainsFunc(n.log.voters.current, func(id string) bool {
 		return id != n.cfg.ID && !n.isResponsive(n.progress[id])
 	})
 }
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -26,8 +26,8 @@
 // recovery: it neither votes nor counts towards a commit until every peer has
 // reported its status and its own log has reached the longest log reported.
 //
-// With dynamic membership, log entries replace the set of voters (Entry.Voters),
-// one replica at a time. A replica that has lost its disk rejoins under a new
+// With dynamic membership, log entries replace the set of voters (Entry.Voters): one
+// replica is added, removed or replaced at a time. A replica that has lost its disk rejoins under a new
 // identifier, under which it has given no vote or acknowledgement. It receives
 // the log as a learner (AddLearner) and votes once the leader has added it. A replica
 // that is about to stop leaves the set first (RequestLeave, LeaveGranted), so that the
@@ -51,6 +51,9 @@
 	// Voters, if set, replaces the set of voters from this entry on, even before
 	// the entry is committed.
 	Voters []string `cbor:"4,keyasint,omitempty"`
+	// Outgoing, if set, is the former set of voters, which decides together with
+	// Voters until the next entry with Voters.
+	Outgoing []string `cbor:"5,keyasint,omitempty"`
 }
 
 // HardState is the state that must survive a restart in addition to the log.
@@ -66,8 +69,9 @@
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
 	Data  []byte `cbor:"3,keyasint"`
-	// Voters is the set of voters as of Index.
-	Voters []string `cbor:"4,keyasint,omitempty"`
+	// Voters and Outgoing are the sets of voters as of Index.
+	Voters   []string `cbor:"4,keyasint,omitempty"`
+	Outgoing []string `cbor:"5,keyasint,omitempty"`
 }
 
 // PersistentState is the state that a node reads from disk when it starts.
@@ -184,8 +188,9 @@
 // Commit returns the highest committed index.
 func (n *Node) Commit() uint64 { return n.log.commit }
 
-// Voters returns the current voters. The caller must not change the slice.
-func (n *Node) Voters() []string { return n.log.voters }
+// Voters returns the current voters, and those that are being replaced. The caller
+// must not change the slice.
+func (n *Node) Voters() []string { return n.log.voters.all() }
 
 // LastIndex returns the index of the last entry, committed or not.
 func (n *Node) LastIndex() uint64 { return n.log.last() }
@@ -193,8 +198,10 @@
 // Applied returns the highest index returned by TakeOutput as committed.
 func (n *Node) Applied() uint64 { return n.applied }
 
-// IsVoter reports whether a replica is in the current set of voters.
-func (n *Node) IsVoter(id string) bool { return slices.Contains(n.log.voters, id) }
+// IsVoter reports whether a replica is among Voters.
+func (n *Node) IsVoter(id string) bool {
+	return slices.Contains(n.log.voters.current, id) || slices.Contains(n.log.voters.outgoing, id)
+}
 
 // HasActiveLeader reports whether the node holds the leader lease, or has heard
 // from the leader less than an election timeout ago.
@@ -215,14 +222,10 @@
 	if n.role != Leader || n.log.termAt(n.log.commit) != n.hardState.Term {
 		return false
 	}
-	recent := 0
 	window := uint64(n.cfg.ElectionTicks) * 3 / 4
-	for _, id := range n.log.voters {
-		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < window && !n.progress[id].learner {
-			recent++
-		}
-	}
-	return recent >= n.quorum()
+	return n.log.voters.agree(func(id string) bool {
+		return id == n.cfg.ID || n.now-n.progress[id].ackedAt < window && !n.progress[id].learner
+	})
 }
 
 // Tick advances the node's clock by the number of tick intervals that have
@@ -266,13 +269,7 @@
 // hearsQuorum reports whether a quorum has acknowledged messages sent less than
 // window ticks ago.
 func (n *Node) hearsQuorum(window uint64) bool {
-	recent := 0
-	for _, id := range n.log.voters {
-		if id == n.cfg.ID || n.now-n.progress[id].ackedAt < window {
-			recent++
-		}
-	}
-	return recent >= n.quorum()
+	return n.log.voters.agree(func(id string) bool { return id == n.cfg.ID || n.now-n.progress[id].ackedAt < window })
 }
 
 // Propose appends data to the log and returns its index and term. It returns
@@ -289,7 +286,7 @@
 func (n *Node) appendEntry(e Entry) Entry {
 	e.Index, e.Term = n.log.last()+1, n.hardState.Term
 	n.log.append(e)
-	n.trackProgress(n.log.voters)
+	n.trackProgress(n.log.voters.all())
 	n.progress[n.cfg.ID].match = e.Index
 	n.advanceCommit()
 	n.broadcastAppend()
@@ -308,7 +305,8 @@
 // Compact replaces the log up to an applied index by a snapshot that holds data.
 // It returns the snapshot to make durable.
 func (n *Node) Compact(index uint64, data []byte) Snapshot {
-	snap := Snapshot{Index: index, Term: n.log.termAt(index), Data: data, Voters: n.log.votersAt(index)}
+	voters := n.log.votersAt(index)
+	snap := Snapshot{Index: index, Term: n.log.termAt(index), Data: data, Voters: voters.current, Outgoing: voters.outgoing}
 	n.log.compact(snap)
 	return snap
 }
@@ -322,8 +320,6 @@
 // HardState returns the state to store with a snapshot.
 func (n *Node) HardState() HardState { return n.hardState }
 
-func (n *Node) quorum() int { return len(n.log.voters)/2 + 1 }
-
 func (n *Node) resetTimeout() {
 	n.lastContact = n.now
 	n.electionTimeout = uint64(n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks))
@@ -361,20 +357,14 @@
 		m = Message{Kind: KindVote, Term: n.hardState.Term, Transfer: transfer}
 	}
 	m.Index, m.LogTerm = n.log.last(), n.log.termAt(n.log.last())
-	for _, id := range n.log.voters {
+	for _, id := range n.log.voters.all() {
 		n.send(id, m)
 	}
 	n.countVotes()
 }
 
 func (n *Node) countVotes() {
-	granted := 0
-	for _, id := range n.log.voters {
-		if n.votes[id] {
-			granted++
-		}
-	}
-	if granted < n.quorum() {
+	if !n.log.voters.agree(func(id string) bool { return n.votes[id] }) {
 		return
 	}
 	if n.role == PreCandidate {
@@ -387,7 +377,7 @@
 func (n *Node) becomeLeader() {
 	n.become(Leader, n.hardState.Term, n.cfg.ID)
 	n.progress = map[string]*progress{}
-	n.trackProgress(n.log.voters)
+	n.trackProgress(n.log.voters.all())
 	n.readRound, n.readPending = 0, false
 	// Committing an entry of the new term commits all entries before it.
 	n.Propose(nil)
@@ -402,16 +392,12 @@
 }
 
 func (n *Node) advanceCommit() {
-	var matches []uint64
-	for _, id := range n.log.voters {
-		match := n.progress[id].match
+	index := n.log.voters.reached(func(id string) uint64 {
 		if n.progress[id].learner {
-			match = 0
+			return 0
 		}
-		matches = append(matches, match)
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-n.quorum()]
+		return n.progress[id].match
+	})
 	if index > n.log.commit && n.log.termAt(index) == n.hardState.Term {
 		n.log.commit = index
 	}
--- a/core/quorum/read.go
+++ b/core/quorum/read.go
@@ -1,7 +1,5 @@
 package quorum
 
-import "slices"
-
 // RequestRead starts a linearizable read: it requests a confirmation that this
 // node still leads. The read may be served once ConfirmedReadRound reaches the
 // returned round. It returns false if the node is not the leader or has not yet
@@ -20,14 +18,10 @@
 	if n.role != Leader {
 		return 0
 	}
-	var rounds []uint64
-	for _, id := range n.log.voters {
+	return n.log.voters.reached(func(id string) uint64 {
 		if id == n.cfg.ID {
-			rounds = append(rounds, n.readRound)
-			continue
+			return n.readRound
 		}
-		rounds = append(rounds, n.progress[id].readRound)
-	}
-	slices.Sort(rounds)
-	return rounds[len(rounds)-n.quorum()]
+		return n.progress[id].readRound
+	})
 }
--- a/io/plane/loop.go
+++ b/io/plane/loop.go
@@ -148,7 +148,7 @@
 
 func (r *Replica) applyEntry(e quorum.Entry) {
 	if len(e.Voters) > 0 {
-		r.log.WithField("peers", e.Voters).WithField("index", e.Index).Info("replicasChanged")
+		r.log.WithField("peers", e.Voters).WithField("outgoing", e.Outgoing).WithField("index", e.Index).Info("replicasChanged")
 	}
 	if len(e.Data) == 0 {
 		return
