Let a replaced voter that leads hand over

Cause: a voter that is being replaced may return and be elected, since it belongs to the former set. When it ended the replacement it dropped its own progress.

Ruled out: barring it from elections. It may be the only one left whose log has the replacement, and the others would then reject every candidate.

Change: such a leader keeps its progress, and when the former set no longer decides it lets an up-to-date voter campaign and steps down.

Evidence: TestReplacedVoterReturns lets the silent voter return during its replacement while a disk is lost.

--- a/core/quorum/leave_test.go
+++ b/core/quorum/leave_test.go
@@ -322,3 +322,30 @@
 		d.expectCommit("successor lost during a change")
 	})
 }
+
+// TestReplacedVoterReturns guards against a change of the voters that a voter which was
+// only silent disturbs when it returns: it may be elected while it is being replaced. A
+// disk is lost at the same moment.
+func TestReplacedVoterReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newTurnover(t)
+		silent := d.pick("silent")
+		silent.isolated = true
+		d.advance(replacementTicks)
+		s := d.startSuccessor()
+		replacing := func(r *replica) bool { return r.node.IsVoter(silent.id) && r.node.IsVoter(s.id) }
+		for range 600 {
+			if slices.ContainsFunc(d.replicas, replacing) {
+				break
+			}
+			d.advanceMessages(1)
+		}
+		silent.isolated = false
+		d.advanceMessages(rapid.IntRange(0, 40).Draw(t, "steps"))
+		if lost := d.pick("lost"); lost != silent && lost != s {
+			d.wipe(lost)
+		}
+		d.advance(turnoverCatchUpTicks)
+		d.expectCommit("a replaced voter has returned")
+	})
+}
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -99,6 +99,10 @@
 		n.endReplacement()
 		return
 	}
+	if !n.IsVoter(n.cfg.ID) {
+		n.stepDownReplaced()
+		return
+	}
 	limits := n.membershipLimits()
 	n.expireLearners(limits)
 	size := len(n.log.voters.current)
@@ -122,13 +126,22 @@
 func (n *Node) endReplacement() {
 	next := n.log.voters.current
 	for _, id := range n.log.voters.outgoing {
-		if !slices.Contains(next, id) && n.progress[id].leaveID == 0 {
+		if !slices.Contains(next, id) && id != n.cfg.ID && n.progress[id].leaveID == 0 {
 			delete(n.progress, id)
 		}
 	}
 	n.appendEntry(Entry{Voters: slices.Clone(next)})
 }
 
+// stepDownReplaced hands over to a voter. A voter that is being replaced may be elected
+// meanwhile, and leads until the former set no longer decides.
+func (n *Node) stepDownReplaced() {
+	if target := n.transferTarget(); target != "" {
+		n.send(target, Message{Kind: KindTransfer, Term: n.hardState.Term})
+	}
+	n.become(Follower, n.hardState.Term, "")
+}
+
 func (n *Node) membershipLimits() MembershipLimits { return n.cfg.MembershipLimits.withDefaults() }
 
 // removeVoter removes a voter. One that leaves still receives appends, which tell it
