Let no replica end as a voter before a new leader knows the learners

What callers would see: several control replicas are replaced as planned at once, the leader among them, and no configuration is acknowledged or read any more.

Cause: with 2f+1 voters and no learner a stopping replica may end as a voter. A leader that has just been elected knows no learners until they ask it to join, up to an election timeout later.

Ruled out: the replacement of a voter in one change, which the code before does not have.

Change: that grant waits until the leader has led for two election timeouts, a second. The stop of one of 2f+1 replicas takes that longer if it led. Of several learners the first by name is added, so that a history with one seed is always the same.

--- a/core/quorum/leave.go
+++ b/core/quorum/leave.go
@@ -31,9 +31,17 @@
 	if n.log.termAt(n.log.commit) != n.hardState.Term || n.log.lastMembershipChange() > n.log.commit || n.log.voters.replacing() {
 		return false
 	}
-	return !n.IsVoter(id) || len(n.log.voters.current) <= n.membershipLimits().MinVoters && !n.hasSuccessor()
+	if !n.IsVoter(id) {
+		return true
+	}
+	knowsLearners := n.now-n.electedAt >= uint64(learnerSearchFactor*n.cfg.ElectionTicks)
+	return len(n.log.voters.current) <= n.membershipLimits().MinVoters && knowsLearners && !n.hasSuccessor()
 }
 
+// learnerSearchFactor times ElectionTicks is the time after which a new leader knows the
+// learners: each of them asks to join once in an election timeout.
+const learnerSearchFactor = 2
+
 // hasSuccessor reports whether a learner responds that may replace a voter.
 func (n *Node) hasSuccessor() bool {
 	for id, p := range n.progress {
--- a/core/quorum/leave_test.go
+++ b/core/quorum/leave_test.go
@@ -32,7 +32,10 @@
 
 // newTurnover returns a set that tolerates one or two losses.
 func newTurnover(t *rapid.T) *turnover {
-	tolerance := rapid.IntRange(1, 2).Draw(t, "tolerance")
+	return newTurnoverOf(t, rapid.IntRange(1, 2).Draw(t, "tolerance"))
+}
+
+func newTurnoverOf(t *rapid.T, tolerance int) *turnover {
 	initialVoters := []string{"a", "b", "c", "d", "e"}[:2*tolerance+1]
 	c := newDynamicClusterOf(t, quorum.MembershipLimits{MinVoters: 2*tolerance + 1}, initialVoters...)
 	d := &turnover{dynamicCluster: c, t: t, tolerance: tolerance}
@@ -213,6 +216,27 @@
 	})
 }
 
+// TestPlannedReplacementOfSeveralKeepsTheQuorum guards against a new leader that lets replicas
+// end as voters because their successors, more than fit into the set, have not yet asked it
+// to join.
+func TestPlannedReplacementOfSeveralKeepsTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newTurnoverOf(t, 2)
+		for range rapid.IntRange(1, 3).Draw(t, "more") {
+			d.startSuccessor()
+		}
+		d.advance(turnoverCatchUpTicks)
+		old := slices.Clone(d.replicas)
+		for range old {
+			d.startSuccessor()
+		}
+		d.advance(turnoverCatchUpTicks + d.ticks("sinceJoin", 12))
+		count, first := rapid.IntRange(len(old)-2, len(old)-1).Draw(t, "count"), d.ticks("first", len(old)-1)
+		d.stop(slices.Concat(old, old)[first : first+count]...)
+		d.expectCommit("replacement of several")
+	})
+}
+
 // TestDiskLostDuringLeaveKeepsTheQuorum guards against the loss of a disk between
 // the request to leave and the end of the old replica.
 func TestDiskLostDuringLeaveKeepsTheQuorum(t *testing.T) {
--- a/core/quorum/membership.go
+++ b/core/quorum/membership.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -155,7 +156,8 @@
 
 // caughtUpLearner returns a learner whose log holds all committed entries, or "".
 func (n *Node) caughtUpLearner() string {
-	for id, p := range n.progress {
+	for _, id := range slices.Sorted(maps.Keys(n.progress)) {
+		p := n.progress[id]
 		if !n.IsVoter(id) && p.match >= n.log.commit && p.leaveID == 0 && n.isResponsive(p) {
 			return id
 		}
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -154,6 +154,7 @@
 	// leaveGranted is set once a leader has granted the request.
 	leaveGranted  bool
 	transferredAt uint64 // tick of the leader's latest transfer request
+	electedAt     uint64 // tick at which this node became the leader
 }
 
 // New returns a node that continues from its persistent state.
@@ -376,6 +377,7 @@
 
 func (n *Node) becomeLeader() {
 	n.become(Leader, n.hardState.Term, n.cfg.ID)
+	n.electedAt = n.now
 	n.progress = map[string]*progress{}
 	n.trackProgress(n.log.voters.all())
 	n.readRound, n.readPending = 0, false
