--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -27,11 +27,11 @@
 // reported its status and its own log has reached the longest log reported.
 //
 // With dynamic membership, log entries replace the set of voters (Entry.Voters): one
-// replica is added, removed or replaced at a time. A replica that has lost its disk rejoins under a new
-// identifier, under which it has given no vote or acknowledgement. It receives
-// the log as a learner (AddLearner) and votes once the leader has added it. A replica
-// that is about to stop leaves the set first (RequestLeave, LeaveGranted), so that the
-// set does not count a vote that may never come again.
+// replica is added, removed or replaced at a time. A replica that has lost its disk
+// rejoins under a new identifier, under which it has given no vote or acknowledgement.
+// It receives the log as a learner (AddLearner) and votes once the leader has added it.
+// A replica that is about to stop leaves the set first (RequestLeave, LeaveGranted), so
+// that the set does not count a vote that may never come again.
 //
 // A leader confirms that its applied state is current by a round of
 // acknowledgements that starts after the read request (RequestRead,
