--- a/io/store/retry.go
+++ b/io/store/retry.go
@@ -13,8 +13,8 @@
 // Retrier repeats writes that fail, such as those to a full disk. Its methods may be
 // called from one goroutine, except Failing, which may be called from any.
 type Retrier struct {
-	// Log receives diskFailed when writes start to fail, and diskRegained when they
-	// succeed again.
+	// Log, which must be set, receives diskFailed when writes start to fail, and
+	// diskRegained when they succeed again.
 	Log *logrus.Entry
 	// OnFailed, if set, is called when writes start to fail.
 	OnFailed func()
