--- a/core/quorum/leave_test.go
+++ b/core/quorum/leave_test.go
@@ -212,6 +212,7 @@
 // TestTurnoverKeepsTheQuorum guards against voters that have ended for good and still
 // count: with them, the loss of one more disk used to leave no quorum.
 func TestTurnoverKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
@@ -244,6 +245,7 @@
 // end as voters because their successors, more than fit into the set, have not yet asked it
 // to join.
 func TestPlannedReplacementOfSeveralKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnoverOf(t, 2)
 		for range rapid.IntRange(1, 3).Draw(t, "more") {
@@ -259,6 +261,7 @@
 // TestDiskLostDuringLeaveKeepsTheQuorum guards against the loss of disks between any two
 // messages of the departure of one or several replicas.
 func TestDiskLostDuringLeaveKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		leaving := d.succeed(rapid.IntRange(1, len(d.replicas)).Draw(t, "count"))
@@ -294,6 +297,7 @@
 // the voter that it is to replace still counts: if the successor is lost as well, no
 // quorum used to be left.
 func TestLostSuccessorKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		d.end(d.pick("lost"))
@@ -308,6 +312,7 @@
 // TestStaleLeaveHasNoEffect guards against a request or a grant of an earlier stop
 // of the same replica: neither may remove or release the process that runs now.
 func TestStaleLeaveHasNoEffect(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		d.startSuccessor()
@@ -348,6 +353,7 @@
 // TestSuccessorLostDuringChangeKeepsTheQuorum guards against a change of the voters that
 // can no longer be committed when the successor is lost before it has acknowledged it.
 func TestSuccessorLostDuringChangeKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		for _, lost := range d.pickLost() {
@@ -365,6 +371,7 @@
 // only silent disturbs when it returns: it may be elected while it is being replaced. A
 // disk is lost at the same moment.
 func TestReplacedVoterReturns(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnover(t)
 		silent := d.pick("silent")
@@ -391,6 +398,7 @@
 // TestDiskLostDuringReplacementKeepsTheQuorum guards against the loss of a disk between any
 // two messages of the replacement of a voter that ended without notice.
 func TestDiskLostDuringReplacementKeepsTheQuorum(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := newTurnoverOf(t, 2)
 		d.end(d.pick("ended"))
